--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/api/RouteDefinition.java
@@ -0,0 +1,36 @@
+package org.arbutuslock.api;
+
+import java.util.Map;
+
+/**
+ * Configuration of one route: which requests go to which service, and how they are treated.
+ *
+ * @param name unique name of the route: letters, digits and hyphens, 1 to 63 characters
+ * @param host host name that the request must name, in lower case, or empty for any
+ * @param method method that the request must have, or empty for any
+ * @param path path to match, starting with a slash
+ * @param prefix true when every path below {@code path} matches too (whole segments only)
+ * @param headers header names in lower case and the values that they must have
+ * @param service name of the service that gets the request
+ * @param workClass short or long work
+ * @param idempotent true when a request may be executed more than once; false for unknown methods
+ * @param deadlineMillis time within which the caller needs the response, 1 to 3,600,000
+ * @param priority 0 (dropped first) to 9 (dropped last)
+ */
+public record RouteDefinition(
+        String name,
+        String host,
+        String method,
+        String path,
+        boolean prefix,
+        Map<String, String> headers,
+        String service,
+        WorkClass workClass,
+        boolean idempotent,
+        int deadlineMillis,
+        int priority) {
+    /** Copies the headers so that a route never changes. */
+    public RouteDefinition {
+        headers = Map.copyOf(headers);
+    }
+}
