Add plug-in runtime and messages between nodes

Cause: the data path needs plug-ins in order and a bounded codec. Change: PluginRuntime, PeerMessage with its MessagePack codec. Found by the random input test: the unused format byte 0xc1 escaped as an unchecked exception; it is now a MessageFormatException. Conclusion: every malformed message gives position and field.

--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/MessageReader.java
@@ -0,0 +1,194 @@
+package org.arbutuslock.internal.messages;
+
+import java.io.IOException;
+import java.util.function.Supplier;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
+
+/**
+ * Reads MessagePack values with a bound on every length and an error that names position and field.
+ *
+ * <pre>{@code
+ * MessageReader reader = new MessageReader(frame);
+ * int fields = reader.readArrayHeader("message", 16);
+ * String node = reader.readString("node", 255);
+ * }</pre>
+ */
+public final class MessageReader implements AutoCloseable {
+    private final MessageUnpacker mUnpacker;
+
+    /**
+     * Creates a reader over one encoded message.
+     *
+     * @param encoded whole message; must not be changed while it is read
+     */
+    public MessageReader(byte[] encoded) {
+        mUnpacker = MessagePack.newDefaultUnpacker(encoded);
+    }
+
+    /**
+     * Reads the length of an array.
+     *
+     * @param field name of the field for errors
+     * @param maximum largest length allowed
+     * @return number of elements that follow
+     * @throws MessageFormatException when the value is not an array or too long
+     */
+    public int readArrayHeader(String field, int maximum) throws MessageFormatException {
+        expect(field, ValueType.ARRAY);
+        int length = call(field, mUnpacker::unpackArrayHeader);
+        return checkLength(field, length, maximum);
+    }
+
+    /**
+     * Reads a string.
+     *
+     * @param field name of the field for errors
+     * @param maximumBytes largest number of UTF-8 bytes allowed
+     * @return the string
+     * @throws MessageFormatException when the value is not a string or too long
+     */
+    public String readString(String field, int maximumBytes) throws MessageFormatException {
+        expect(field, ValueType.STRING);
+        int length = call(field, mUnpacker::unpackRawStringHeader);
+        checkLength(field, length, maximumBytes);
+        byte[] bytes = call(field, () -> mUnpacker.readPayload(length));
+        return new String(bytes, java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Reads binary data.
+     *
+     * @param field name of the field for errors
+     * @param maximumBytes largest number of bytes allowed
+     * @return the data
+     * @throws MessageFormatException when the value is not binary or too long
+     */
+    public byte[] readBinary(String field, int maximumBytes) throws MessageFormatException {
+        expect(field, ValueType.BINARY);
+        int length = call(field, mUnpacker::unpackBinaryHeader);
+        checkLength(field, length, maximumBytes);
+        return call(field, () -> mUnpacker.readPayload(length));
+    }
+
+    /**
+     * Reads an integer within a range.
+     *
+     * @param field name of the field for errors
+     * @param minimum smallest value allowed
+     * @param maximum largest value allowed
+     * @return the value
+     * @throws MessageFormatException when the value is not an integer or outside the range
+     */
+    public long readLong(String field, long minimum, long maximum) throws MessageFormatException {
+        expect(field, ValueType.INTEGER);
+        long value = call(field, mUnpacker::unpackLong);
+        if (value < minimum || value > maximum) {
+            throw problem(field, "read " + value + ", allowed " + minimum + " to " + maximum);
+        }
+        return value;
+    }
+
+    /**
+     * Reads an integer within a range.
+     *
+     * @param field name of the field for errors
+     * @param minimum smallest value allowed
+     * @param maximum largest value allowed
+     * @return the value
+     * @throws MessageFormatException when the value is not an integer or outside the range
+     */
+    public int readInt(String field, int minimum, int maximum) throws MessageFormatException {
+        return (int) readLong(field, minimum, maximum);
+    }
+
+    /**
+     * Reads a boolean.
+     *
+     * @param field name of the field for errors
+     * @return the value
+     * @throws MessageFormatException when the value is not a boolean
+     */
+    public boolean readBoolean(String field) throws MessageFormatException {
+        expect(field, ValueType.BOOLEAN);
+        return call(field, mUnpacker::unpackBoolean);
+    }
+
+    /**
+     * Reads an enum constant that was written as its ordinal.
+     *
+     * @param field name of the field for errors
+     * @param constants all constants in order
+     * @param <T> type of the enum
+     * @return the constant
+     * @throws MessageFormatException when the ordinal does not exist
+     */
+    public <T extends Enum<T>> T readEnum(String field, T[] constants)
+            throws MessageFormatException {
+        return constants[readInt(field, 0, constants.length - 1)];
+    }
+
+    /**
+     * Checks that nothing follows.
+     *
+     * @throws MessageFormatException when bytes are left
+     */
+    public void expectEnd() throws MessageFormatException {
+        if (call("end", mUnpacker::hasNext)) {
+            throw problem("end", "bytes follow the message");
+        }
+    }
+
+    /**
+     * Creates an error at the current position.
+     *
+     * @param field name of the field
+     * @param problem what was read and what is allowed
+     * @return the error to throw
+     */
+    public MessageFormatException problem(String field, String problem) {
+        return new MessageFormatException(mUnpacker.getTotalReadBytes(), field, problem);
+    }
+
+    @Override
+    public void close() {
+        try {
+            mUnpacker.close();
+        } catch (IOException impossible) {
+            throw new IllegalStateException("closing a reader of a byte array failed", impossible);
+        }
+    }
+
+    private void expect(String field, ValueType expected) throws MessageFormatException {
+        // getValueType throws for the one format byte that MessagePack does not use.
+        ValueType actual = call(field, () -> mUnpacker.getNextFormat().getValueType());
+        if (actual != expected) {
+            throw problem(field, "read " + actual + ", allowed " + expected);
+        }
+    }
+
+    private int checkLength(String field, int length, int maximum) throws MessageFormatException {
+        if (length > maximum) {
+            throw problem(field, "length " + length + ", allowed 0 to " + maximum);
+        }
+        return length;
+    }
+
+    private <T> T call(String field, UnpackerCall<T> unpackerCall) throws MessageFormatException {
+        try {
+            return unpackerCall.run();
+        } catch (IOException | MessagePackException malformed) {
+            throw problem(field, describe(malformed, () -> "the value ends early"));
+        }
+    }
+
+    private static String describe(Exception malformed, Supplier<String> fallback) {
+        return malformed.getMessage() == null ? fallback.get() : malformed.getMessage();
+    }
+
+    private interface UnpackerCall<T> {
+        T run() throws IOException;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/MessageWriter.java
@@ -0,0 +1,105 @@
+package org.arbutuslock.internal.messages;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/**
+ * Writes MessagePack values to a byte array.
+ *
+ * <pre>{@code
+ * byte[] encoded = new MessageWriter().writeArrayHeader(2).writeLong(1).writeString("a").toBytes();
+ * }</pre>
+ */
+public final class MessageWriter {
+    private final MessageBufferPacker mPacker = MessagePack.newDefaultBufferPacker();
+
+    /** Creates an empty writer. */
+    public MessageWriter() {}
+
+    /**
+     * Starts an array.
+     *
+     * @param length number of elements that follow
+     * @return this writer
+     */
+    public MessageWriter writeArrayHeader(int length) {
+        return call(() -> mPacker.packArrayHeader(length));
+    }
+
+    /**
+     * Writes a string.
+     *
+     * @param value the string
+     * @return this writer
+     */
+    public MessageWriter writeString(String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        call(() -> mPacker.packRawStringHeader(bytes.length));
+        return call(() -> mPacker.addPayload(bytes));
+    }
+
+    /**
+     * Writes binary data.
+     *
+     * @param value the data; must not be changed before {@link #toBytes()}
+     * @return this writer
+     */
+    public MessageWriter writeBinary(byte[] value) {
+        call(() -> mPacker.packBinaryHeader(value.length));
+        return call(() -> mPacker.addPayload(value));
+    }
+
+    /**
+     * Writes an integer.
+     *
+     * @param value the integer
+     * @return this writer
+     */
+    public MessageWriter writeLong(long value) {
+        return call(() -> mPacker.packLong(value));
+    }
+
+    /**
+     * Writes a boolean.
+     *
+     * @param value the boolean
+     * @return this writer
+     */
+    public MessageWriter writeBoolean(boolean value) {
+        return call(() -> mPacker.packBoolean(value));
+    }
+
+    /**
+     * Writes an enum constant as its ordinal.
+     *
+     * @param value the constant
+     * @return this writer
+     */
+    public MessageWriter writeEnum(Enum<?> value) {
+        return writeLong(value.ordinal());
+    }
+
+    /**
+     * Returns all values written.
+     *
+     * @return a new array
+     */
+    public byte[] toBytes() {
+        return mPacker.toByteArray();
+    }
+
+    private MessageWriter call(PackerCall packerCall) {
+        try {
+            packerCall.run();
+            return this;
+        } catch (IOException impossible) {
+            throw new IllegalStateException("writing to a byte array failed", impossible);
+        }
+    }
+
+    private interface PackerCall {
+        void run() throws IOException;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/package-info.java
@@ -0,0 +1,2 @@
+/** Typed messages between nodes and their MessagePack codec. */
+package org.arbutuslock.internal.messages;
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/plugins/package-info.java
@@ -0,0 +1,2 @@
+/** Starts, drains and stops the plug-ins of a node. */
+package org.arbutuslock.internal.plugins;
--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageCodecTest.java
@@ -0,0 +1,91 @@
+package org.arbutuslock.internal.messages;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import java.util.Random;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.RequestId;
+import org.arbutuslock.api.WorkClass;
+import org.testng.Reporter;
+import org.testng.annotations.Test;
+
+/** Guards against messages that change on the wire and against decoders that crash on bad input. */
+public class PeerMessageCodecTest {
+    private static final int RANDOM_INPUTS = 100_000;
+
+    @Test
+    public void should_decode_what_was_encoded() throws Exception {
+        PeerMessage.Submit submit = submit();
+        assertEquals(PeerMessageCodec.decode(PeerMessageCodec.encode(submit)), submit);
+        PeerMessage.Refusal refusal =
+                new PeerMessage.Refusal(
+                        3, RefusalReason.OVERLOADED, "queue full", new LoadReport(5, 20, 5, 900));
+        assertEquals(PeerMessageCodec.decode(PeerMessageCodec.encode(refusal)), refusal);
+    }
+
+    @Test
+    public void should_name_position_and_field_of_a_malformed_message() {
+        byte[] encoded =
+                new MessageWriter().writeArrayHeader(2).writeLong(2).writeString("x").toBytes();
+        MessageFormatException error =
+                expectThrows(MessageFormatException.class, () -> PeerMessageCodec.decode(encoded));
+        assertEquals(error.getMessage(), "byte 2, field number: read STRING, allowed INTEGER");
+    }
+
+    @Test
+    public void should_reject_a_length_before_memory_is_allocated() {
+        byte[] claimsTwoGigabytes = {
+            (byte) 0x93, 5, 1, (byte) 0xc6, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff
+        };
+        MessageFormatException error =
+                expectThrows(
+                        MessageFormatException.class,
+                        () -> PeerMessageCodec.decode(claimsTwoGigabytes));
+        assertEquals(
+                error.getMessage(), "byte 8, field data: length 2147483647, allowed 0 to 16384");
+    }
+
+    @Test
+    public void should_survive_random_and_mutated_input() {
+        long seed = Long.getLong("arbutuslock.seed", 20261204L);
+        Reporter.log("seed " + seed, true);
+        Random random = new Random(seed);
+        byte[] valid = PeerMessageCodec.encode(submit());
+        for (int input = 0; input < RANDOM_INPUTS; input++) {
+            byte[] bytes = input % 2 == 0 ? valid.clone() : new byte[random.nextInt(64)];
+            if (input % 2 == 0) {
+                bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+            } else {
+                random.nextBytes(bytes);
+            }
+            decodeOrReject(bytes);
+        }
+    }
+
+    private static void decodeOrReject(byte[] bytes) {
+        try {
+            PeerMessageCodec.decode(bytes);
+        } catch (MessageFormatException rejected) {
+            assertEquals(rejected.getMessage().startsWith("byte "), true);
+        }
+    }
+
+    private static PeerMessage.Submit submit() {
+        return new PeerMessage.Submit(
+                9,
+                new RequestId("calgary-a-1", 77, 12),
+                new EndpointId("order-hub", "order-hub-3"),
+                "POST",
+                "/orders?shop=12",
+                List.of(new HeaderField("content-type", "application/json")),
+                120,
+                WorkClass.SHORT,
+                false,
+                "shop-12",
+                1,
+                5,
+                1_500);
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/plugins/PluginRuntimeTest.java
@@ -0,0 +1,68 @@
+package org.arbutuslock.internal.plugins;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.arbutuslock.api.Plugin;
+import org.arbutuslock.api.PluginContext;
+import org.arbutuslock.api.PluginException;
+import org.testng.annotations.Test;
+
+/** Guards against plug-ins that start before what they require. */
+public class PluginRuntimeTest {
+    private final List<String> mSteps = new ArrayList<>();
+
+    @Test
+    public void should_start_in_order_of_requirements_and_stop_in_reverse() throws Exception {
+        mSteps.clear();
+        PluginRuntime runtime =
+                new PluginRuntime(
+                        List.of(plugin("late", Set.of("early")), plugin("early", Set.of())));
+        runtime.start();
+        runtime.stop();
+        assertEquals(mSteps, List.of("start early", "start late", "stop late", "stop early"));
+    }
+
+    @Test
+    public void should_name_both_plugins_of_a_missing_requirement() throws Exception {
+        PluginRuntime runtime = new PluginRuntime(List.of(plugin("peers", Set.of("settings"))));
+        PluginException error = expectThrows(PluginException.class, runtime::start);
+        assertTrue(error.getMessage().contains("\"peers\" requires \"settings\""));
+    }
+
+    @Test
+    public void should_refuse_a_cycle() throws Exception {
+        PluginRuntime runtime =
+                new PluginRuntime(
+                        List.of(plugin("one", Set.of("two")), plugin("two", Set.of("one"))));
+        expectThrows(PluginException.class, runtime::start);
+    }
+
+    private Plugin plugin(String name, Set<String> requires) {
+        return new Plugin() {
+            @Override
+            public String name() {
+                return name;
+            }
+
+            @Override
+            public Set<String> requires() {
+                return requires;
+            }
+
+            @Override
+            public void start(PluginContext context) {
+                mSteps.add("start " + name);
+            }
+
+            @Override
+            public void stop() {
+                mSteps.add("stop " + name);
+            }
+        };
+    }
+}
