Add execution ledger, the home node's record of each request

Change: ExecutionLedger and ExecutionRecord with sealed results. Admission and fencing are serialized by a lock per session, so that a request is either recorded before a query looks for it or dropped. A record that is forgotten raises the highest forgotten sequence of its entry node; absence below that sequence is reported as Forgotten, never as NotRun. Acknowledged records keep recognizing late copies for the retention time.

--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/execution/RefusalReason.java
@@ -0,0 +1,23 @@
+package org.arbutuslock.internal.execution;
+
+/** Why a request was refused before it was dispatched. */
+public enum RefusalReason {
+    /** The queue of the backend server is full. */
+    QUEUE_FULL,
+    /** The deadline cannot be met, or has passed while the request was queued. */
+    DEADLINE,
+    /** Work with a higher priority or of a tenant below its share took the place in the queue. */
+    DISPLACED,
+    /** The backend server or the node is draining. */
+    DRAINING,
+    /** The backend server is ejected, cold or gone. */
+    NOT_IN_SERVICE,
+    /** The caller or the entry node cancelled the request. */
+    CANCELLED,
+    /** An outcome query arrived while the request was queued. */
+    QUERIED,
+    /** The session on which the request arrived was fenced. */
+    SESSION_FENCED,
+    /** A late copy of a request whose record is no longer kept; the original may have run. */
+    FORGOTTEN
+}
--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/execution/ExecutionLedgerTest.java
@@ -0,0 +1,129 @@
+package org.arbutuslock.internal.execution;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.arbutuslock.api.ManualClock;
+import org.arbutuslock.api.RequestId;
+import org.testng.annotations.Test;
+
+/** Guards against second dispatches, false refusals and unbounded memory of the ledger. */
+public class ExecutionLedgerTest {
+    private static final long INCARNATION = 7;
+
+    private final ManualClock mClock = new ManualClock();
+
+    private ExecutionLedger createLedger(int records) {
+        LedgerLimits limits = new LedgerLimits(Duration.ofSeconds(120), 100, 150, records, 10);
+        return new ExecutionLedger(mClock, INCARNATION, limits);
+    }
+
+    private static RequestId id(long sequence) {
+        return new RequestId("calgary-a-1", 1, sequence);
+    }
+
+    private static ExecutionRecord admit(ExecutionLedger ledger, long session, long sequence) {
+        return ((AdmitResult.Admitted) ledger.admit(session, id(sequence))).record();
+    }
+
+    /** Guards against a request that is dispatched after the entry node was told otherwise. */
+    @Test
+    public void should_refuse_queued_request_when_queried() {
+        ExecutionLedger ledger = createLedger(10);
+        long session = ledger.openSession();
+        ExecutionRecord record = admit(ledger, session, 1);
+        assertEquals(ledger.query(id(1), INCARNATION, session), new QueryResult.NotRun());
+        assertFalse(record.markDispatched());
+        assertEquals(record.refusalReason(), Optional.of(RefusalReason.QUERIED));
+    }
+
+    /** Guards against a late copy that runs after its absence was reported as not run. */
+    @Test
+    public void should_drop_late_copy_on_fenced_session() {
+        ExecutionLedger ledger = createLedger(10);
+        long session = ledger.openSession();
+        assertEquals(ledger.query(id(1), INCARNATION, session), new QueryResult.NotRun());
+        assertEquals(ledger.admit(session, id(1)), new AdmitResult.SessionFenced());
+    }
+
+    /** Guards against {@code not run} from a process that lost its records. */
+    @Test
+    public void should_not_guess_for_another_incarnation() {
+        QueryResult result = createLedger(10).query(id(1), INCARNATION - 1, 1);
+        assertEquals(result, new QueryResult.UnknownIncarnation());
+    }
+
+    /** Guards against a second dispatch and a lost response. */
+    @Test
+    public void should_recognize_duplicate_and_keep_response_until_acknowledged() {
+        ExecutionLedger ledger = createLedger(10);
+        long session = ledger.openSession();
+        ExecutionRecord record = admit(ledger, session, 1);
+        assertTrue(record.markDispatched());
+        assertFalse(record.markDispatched());
+        KeptResponse response = () -> 60;
+        assertTrue(record.complete(response));
+        assertFalse(record.fail());
+        assertEquals(
+                ledger.admit(ledger.openSession(), id(1)),
+                new AdmitResult.Duplicate(ExecutionState.ANSWERED));
+        assertEquals(
+                ledger.query(id(1), INCARNATION, session),
+                new QueryResult.Answered(Optional.of(response)));
+        assertTrue(ledger.acknowledge(id(1)));
+        assertEquals(ledger.keptBytes(), 0);
+    }
+
+    /** Guards against kept responses above the limits for one and for all. */
+    @Test
+    public void should_bound_kept_responses() {
+        ExecutionLedger ledger = createLedger(10);
+        long session = ledger.openSession();
+        int[] sizes = {101, 100, 60};
+        for (int sequence = 0; sequence < sizes.length; sequence++) {
+            ExecutionRecord record = admit(ledger, session, sequence);
+            record.markDispatched();
+            int size = sizes[sequence];
+            assertTrue(record.complete(() -> size));
+        }
+        assertEquals(ledger.keptBytes(), 100);
+    }
+
+    /** Guards against a forgotten record that reads as not run or is admitted again. */
+    @Test
+    public void should_fence_and_report_forgotten_after_retention() {
+        ExecutionLedger ledger = createLedger(10);
+        long session = ledger.openSession();
+        ExecutionRecord record = admit(ledger, session, 5);
+        record.markDispatched();
+        record.complete(() -> 10);
+        mClock.advance(Duration.ofSeconds(119));
+        assertEquals(ledger.expire(), List.of());
+        mClock.advance(Duration.ofSeconds(2));
+        assertEquals(ledger.expire(), List.of(session));
+        assertEquals(ledger.recordCount(), 0);
+        assertEquals(ledger.keptBytes(), 0);
+        long next = ledger.openSession();
+        assertEquals(ledger.admit(next, id(5)), new AdmitResult.Forgotten());
+        assertEquals(ledger.query(id(4), INCARNATION, next), new QueryResult.Forgotten());
+        assertEquals(ledger.query(id(6), INCARNATION, next), new QueryResult.NotRun());
+    }
+
+    /** Guards against unbounded records and against a refusal that a later copy contradicts. */
+    @Test
+    public void should_fence_session_when_no_record_is_free() {
+        ExecutionLedger ledger = createLedger(1);
+        long session = ledger.openSession();
+        ExecutionRecord first = admit(ledger, session, 1);
+        first.refuse(RefusalReason.QUEUE_FULL);
+        ledger.acknowledge(id(1));
+        admit(ledger, session, 2);
+        assertEquals(ledger.admit(session, id(3)), new AdmitResult.LedgerFull());
+        assertEquals(ledger.admit(session, id(3)), new AdmitResult.SessionFenced());
+        assertEquals(ledger.recordCount(), 1);
+    }
+}
