--- a/kernel/src/main/java/org/arbutuslock/internal/execution/RefusalReason.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/execution/RefusalReason.java
@@ -18,6 +18,12 @@
     QUERIED,
     /** The session on which the request arrived was fenced. */
     SESSION_FENCED,
+    /** The home node does not front the endpoint. */
+    UNKNOWN_ENDPOINT,
+    /** No connection to the backend server could be opened. */
+    CONNECT_FAILED,
+    /** The home node has no room for another record. */
+    LEDGER_FULL,
     /** A late copy of a request whose record is no longer kept; the original may have run. */
     FORGOTTEN
 }
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/NodeRecord.java
@@ -0,0 +1,46 @@
+package org.arbutuslock.internal.membership;
+
+import java.util.List;
+
+/**
+ * What a node announces about itself. Only the node itself writes its record; of two records the
+ * one with the higher incarnation wins, then the one with the higher version.
+ *
+ * @param node unique name of the node
+ * @param incarnation number of this run of the node
+ * @param version number of this record within the incarnation
+ * @param peerAddress IP address and port for sessions between nodes
+ * @param region region of the node
+ * @param availabilityZone availability zone of the node
+ * @param configurationRevision revision of the configuration in force at the node
+ * @param draining true when the node is shutting down
+ * @param endpoints endpoints of the backend servers on the node's host
+ */
+public record NodeRecord(
+        String node,
+        long incarnation,
+        long version,
+        String peerAddress,
+        String region,
+        String availabilityZone,
+        long configurationRevision,
+        boolean draining,
+        List<EndpointRecord> endpoints) {
+    /** Copies the list of endpoints. */
+    public NodeRecord {
+        endpoints = List.copyOf(endpoints);
+    }
+
+    /**
+     * Tells whether this record replaces another of the same node.
+     *
+     * @param other record of the same node
+     * @return true when this one is newer
+     */
+    public boolean isNewerThan(NodeRecord other) {
+        if (incarnation != other.incarnation) {
+            return incarnation > other.incarnation;
+        }
+        return version > other.version;
+    }
+}
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/OutcomeState.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/OutcomeState.java
@@ -13,5 +13,7 @@
     /** The request was dispatched and its outcome is not known. */
     FAILED,
     /** The home node has restarted since; it knows nothing about the request. */
-    UNKNOWN_INCARNATION
+    UNKNOWN_INCARNATION,
+    /** The home node no longer keeps the record; whether the request ran is unknown. */
+    FORGOTTEN
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
@@ -5,6 +5,7 @@
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.internal.execution.RefusalReason;
 
 /** One message between two nodes. Streams number the requests of one session. */
 public sealed interface PeerMessage {
@@ -187,7 +188,7 @@
      * @param state what the home node knows
      * @param response the kept response when the state is {@link OutcomeState#ANSWERED}
      */
-    record OutcomeReply(long query, OutcomeState state, Optional<KeptResponse> response)
+    record OutcomeReply(long query, OutcomeState state, Optional<BufferedResponse> response)
             implements PeerMessage {}
 
     /**
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
@@ -6,6 +6,7 @@
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.internal.execution.RefusalReason;
 
 /**
  * Encodes and decodes the messages between nodes. A message is one MessagePack array that starts
@@ -262,7 +263,7 @@
             writer.writeArrayHeader(0);
             return;
         }
-        KeptResponse response = reply.response().get();
+        BufferedResponse response = reply.response().get();
         writer.writeArrayHeader(3).writeLong(response.status());
         writeHeaders(writer, response.headers());
         writer.writeBinary(response.body());
@@ -279,8 +280,8 @@
         if (fields != 3) {
             throw reader.problem("response", fields + " fields, allowed 0 or 3");
         }
-        KeptResponse response =
-                new KeptResponse(
+        BufferedResponse response =
+                new BufferedResponse(
                         reader.readInt("status", 100, MAXIMUM_STATUS),
                         readHeaders(reader),
                         reader.readBinary("body", MAXIMUM_MESSAGE_BYTES));
--- a/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageCodecTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageCodecTest.java
@@ -8,6 +8,7 @@
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.internal.execution.RefusalReason;
 import org.testng.Reporter;
 import org.testng.annotations.Test;
 
@@ -21,7 +22,7 @@
         assertEquals(PeerMessageCodec.decode(PeerMessageCodec.encode(submit)), submit);
         PeerMessage.Refusal refusal =
                 new PeerMessage.Refusal(
-                        3, RefusalReason.OVERLOADED, "queue full", new LoadReport(5, 20, 5, 900));
+                        3, RefusalReason.QUEUE_FULL, "queue full", new LoadReport(5, 20, 5, 900));
         assertEquals(PeerMessageCodec.decode(PeerMessageCodec.encode(refusal)), refusal);
     }
 
