--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/exchange/Submission.java
@@ -0,0 +1,11 @@
+package org.arbutuslock.daemon.internal.exchange;
+
+/**
+ * Where a request was submitted: what an outcome query needs to know.
+ *
+ * @param peerAddress address of the home node
+ * @param node name of the home node
+ * @param incarnation incarnation of the home node
+ * @param session session on which the request was submitted
+ */
+public record Submission(String peerAddress, String node, long incarnation, long session) {}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -0,0 +1,173 @@
+package org.arbutuslock.daemon.internal.home;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.function.Consumer;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
+import org.arbutuslock.daemon.internal.exchange.HttpHeaderFields;
+import org.arbutuslock.internal.messages.HeaderField;
+
+/**
+ * One HTTP/1.1 connection to a backend server. It works on one request at a time and is reused only
+ * after a complete response. Confined to its event loop.
+ */
+final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private static final String REQUEST_ID_HEADER = "arbutuslock-request-id";
+    private static final String DEADLINE_HEADER = "arbutuslock-deadline-millis";
+
+    private Channel mChannel;
+    private Consumer<BackendEvent> mListener;
+    private boolean mReusable = true;
+    private boolean mHeadRequest;
+    private long mIdleSinceNanos;
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        mChannel = context.channel();
+    }
+
+    boolean isOpen() {
+        return mChannel.isActive();
+    }
+
+    boolean isReusable() {
+        return mReusable && mChannel.isActive();
+    }
+
+    long idleSinceNanos() {
+        return mIdleSinceNanos;
+    }
+
+    void markIdle(long nowNanos) {
+        mIdleSinceNanos = nowNanos;
+    }
+
+    /** Writes a request; events follow until the last body part or {@link BackendEvent.Broken}. */
+    void send(ExecutionRequest request, long remainingMillis, Consumer<BackendEvent> listener) {
+        mListener = listener;
+        mReusable = false;
+        mHeadRequest = request.method().equals("HEAD");
+        FullHttpRequest message =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(request.method()),
+                        request.target(),
+                        Unpooled.wrappedBuffer(request.body()));
+        for (HeaderField field : request.headers()) {
+            message.headers().add(field.name(), field.value());
+        }
+        message.headers().set(REQUEST_ID_HEADER, request.id().format());
+        message.headers().set(DEADLINE_HEADER, remainingMillis);
+        if (request.body().length > 0 || !HttpMethod.GET.name().equals(request.method())) {
+            HttpUtil.setContentLength(message, request.body().length);
+        }
+        mChannel.writeAndFlush(message, mChannel.voidPromise());
+    }
+
+    /** Stops or resumes reading from the backend server. */
+    void setReading(boolean reading) {
+        mChannel.config().setAutoRead(reading);
+    }
+
+    /** Closes the connection; no further event follows. */
+    void abort() {
+        mListener = null;
+        mReusable = false;
+        mChannel.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (mListener == null) {
+            // Bytes outside of a response: this connection is out of step.
+            abort();
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            fail("malformed response: " + message.decoderResult().cause().getMessage());
+            return;
+        }
+        if (message instanceof HttpResponse response && !readHead(response)) {
+            return;
+        }
+        if (message instanceof HttpContent content) {
+            readBody(content);
+        }
+    }
+
+    private boolean readHead(HttpResponse response) {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return false;
+        }
+        boolean hasEnd =
+                mHeadRequest
+                        || response.status().code() == 204
+                        || response.status().code() == 304
+                        || HttpUtil.isContentLengthSet(response)
+                        || HttpUtil.isTransferEncodingChunked(response);
+        if (!hasEnd) {
+            fail("the response has neither a length nor chunks, so that its end is not known");
+            return false;
+        }
+        mReusable = HttpUtil.isKeepAlive(response);
+        emit(
+                new BackendEvent.Head(
+                        response.status().code(),
+                        HttpHeaderFields.withoutConnection(response.headers())));
+        return true;
+    }
+
+    private void readBody(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (!last && !content.content().isReadable()) {
+            return;
+        }
+        BackendEvent body = new BackendEvent.Body(ByteBufUtil.getBytes(content.content()), last);
+        Consumer<BackendEvent> listener = mListener;
+        if (last) {
+            mListener = null;
+        }
+        if (listener != null) {
+            listener.accept(body);
+        }
+    }
+
+    private void emit(BackendEvent event) {
+        if (mListener != null) {
+            mListener.accept(event);
+        }
+    }
+
+    private void fail(String reason) {
+        mReusable = false;
+        Consumer<BackendEvent> listener = mListener;
+        mListener = null;
+        if (listener != null) {
+            listener.accept(new BackendEvent.Broken(reason));
+        }
+        mChannel.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        fail("the backend server closed the connection before the response was complete");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(String.valueOf(cause.getMessage()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnectionPool.java
@@ -0,0 +1,110 @@
+package org.arbutuslock.daemon.internal.home;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.Result;
+
+/** Idle connections to one backend server. Confined to one event loop. */
+final class BackendConnectionPool {
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int MAXIMUM_IDLE = 64;
+    private static final long IDLE_LIMIT_NANOS = Duration.ofSeconds(30).toNanos();
+    // A backend server may close an idle connection just when a request is written. For a
+    // non-idempotent request that means an unknown outcome, and a new connection costs about 1 ms.
+    private static final long NON_IDEMPOTENT_IDLE_LIMIT_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final EventLoop mEventLoop;
+    private final Clock mClock;
+    private final InetSocketAddress mAddress;
+    private final Deque<BackendConnection> mIdle = new ArrayDeque<>();
+
+    BackendConnectionPool(EventLoop eventLoop, Clock clock, InetSocketAddress address) {
+        mEventLoop = eventLoop;
+        mClock = clock;
+        mAddress = address;
+    }
+
+    /** Passes an open connection, or the reason why there is none, to the receiver. */
+    void acquire(boolean idempotent, Consumer<Result<BackendConnection>> receiver) {
+        BackendConnection idle = takeIdle(idempotent);
+        if (idle != null) {
+            receiver.accept(Result.success(idle));
+            return;
+        }
+        BackendConnection connection = new BackendConnection();
+        ChannelFuture connecting =
+                new Bootstrap()
+                        .group(mEventLoop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .handler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new HttpClientCodec(
+                                                                new HttpDecoderConfig(),
+                                                                false,
+                                                                true))
+                                                .addLast(connection);
+                                    }
+                                })
+                        .connect(mAddress);
+        connecting.addListener(
+                connected -> {
+                    if (connected.isSuccess()) {
+                        receiver.accept(Result.success(connection));
+                    } else {
+                        receiver.accept(
+                                Result.failed(
+                                        "connect to backend server",
+                                        mAddress.toString(),
+                                        String.valueOf(connected.cause().getMessage())));
+                    }
+                });
+    }
+
+    /** Takes a connection back after a complete response. */
+    void release(BackendConnection connection) {
+        if (!connection.isReusable() || mIdle.size() >= MAXIMUM_IDLE) {
+            connection.abort();
+            return;
+        }
+        connection.markIdle(mClock.nanoTime());
+        mIdle.push(connection);
+    }
+
+    /** Closes all idle connections. */
+    void close() {
+        mIdle.forEach(BackendConnection::abort);
+        mIdle.clear();
+    }
+
+    private BackendConnection takeIdle(boolean idempotent) {
+        long limit = idempotent ? IDLE_LIMIT_NANOS : NON_IDEMPOTENT_IDLE_LIMIT_NANOS;
+        while (!mIdle.isEmpty()) {
+            BackendConnection connection = mIdle.pop();
+            boolean fresh = mClock.nanoTime() - connection.idleSinceNanos() < limit;
+            if (fresh && connection.isOpen()) {
+                return connection;
+            }
+            connection.abort();
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -0,0 +1,206 @@
+package org.arbutuslock.daemon.internal.home;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.internal.admission.AdmissionController;
+import org.arbutuslock.internal.admission.AdmissionSettings;
+import org.arbutuslock.internal.admission.Completion;
+import org.arbutuslock.internal.admission.Decisions;
+import org.arbutuslock.internal.admission.OfferResult;
+import org.arbutuslock.internal.admission.Rejection;
+import org.arbutuslock.internal.admission.Ticket;
+import org.arbutuslock.internal.messages.LoadReport;
+
+/**
+ * One endpoint at its home node: admission and connections, confined to one event loop. Other
+ * threads use {@link #execute} and the volatile load.
+ */
+public final class EndpointRuntime {
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final EndpointId mId;
+    private final InetSocketAddress mAddress;
+    private final int mSlots;
+    private final EventLoop mEventLoop;
+    private final AdmissionController<HomeExchange> mAdmission;
+    private final BackendConnectionPool mPool;
+    private final ObservationListener mObservations;
+    private volatile LoadReport mLoad = LoadReport.UNKNOWN;
+    private boolean mPolling;
+
+    /**
+     * Creates an endpoint that takes requests at once, at a rising concurrency.
+     *
+     * @param id the endpoint
+     * @param address address of its backend server
+     * @param slots requests that it works on at once
+     * @param eventLoop event loop to which the endpoint is confined
+     * @param clock time of admission and connections
+     * @param observations gets the evidence of finished requests
+     */
+    public EndpointRuntime(
+            EndpointId id,
+            InetSocketAddress address,
+            int slots,
+            EventLoop eventLoop,
+            Clock clock,
+            ObservationListener observations) {
+        mId = id;
+        mAddress = address;
+        mSlots = slots;
+        mEventLoop = eventLoop;
+        mAdmission = new AdmissionController<>(clock, AdmissionSettings.forSlots(slots));
+        mPool = new BackendConnectionPool(eventLoop, clock, address);
+        mObservations = observations;
+    }
+
+    /**
+     * Returns the id.
+     *
+     * @return the endpoint
+     */
+    public EndpointId id() {
+        return mId;
+    }
+
+    /**
+     * Returns the address of the backend server.
+     *
+     * @return IP address and port
+     */
+    public InetSocketAddress address() {
+        return mAddress;
+    }
+
+    /**
+     * Returns the number of slots.
+     *
+     * @return requests that the backend server works on at once
+     */
+    public int slots() {
+        return mSlots;
+    }
+
+    /**
+     * Returns the latest load. Any thread.
+     *
+     * @return load after the last change
+     */
+    public LoadReport load() {
+        return mLoad;
+    }
+
+    /** Offers a request to admission. Any thread. */
+    void offer(HomeExchange exchange) {
+        execute(() -> offerNow(exchange));
+    }
+
+    /** Refuses what is queued and finishes what is dispatched. Any thread. */
+    void drain() {
+        execute(() -> apply(mAdmission.drain()));
+    }
+
+    /** Closes idle connections. Any thread. */
+    void close() {
+        execute(mPool::close);
+    }
+
+    void execute(Runnable step) {
+        if (mEventLoop.inEventLoop()) {
+            step.run();
+        } else {
+            mEventLoop.execute(step);
+        }
+    }
+
+    Future<?> schedule(Runnable step, long delayNanos) {
+        return mEventLoop.schedule(step, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    boolean withdraw(HomeExchange exchange) {
+        boolean withdrawn = mAdmission.cancel(exchange.ticket());
+        updateLoad();
+        return withdrawn;
+    }
+
+    void release(BackendConnection connection) {
+        mPool.release(connection);
+    }
+
+    void finished(HomeExchange exchange, Completion completion) {
+        apply(mAdmission.finished(exchange.ticket(), completion));
+    }
+
+    void observe(WorkClass workClass, long latencyNanos, ObservedOutcome outcome) {
+        mObservations.observed(mId, workClass, latencyNanos, outcome);
+    }
+
+    private void offerNow(HomeExchange exchange) {
+        switch (mAdmission.offer(exchange.ticket())) {
+            case OfferResult.Dispatch<HomeExchange>(Ticket<HomeExchange> ticket) ->
+                    dispatch(ticket.request());
+            case OfferResult.Queued<HomeExchange>(var displaced) -> {
+                displaced.forEach(EndpointRuntime::refuse);
+                startPolling();
+            }
+            case OfferResult.Rejected<HomeExchange>(Rejection<HomeExchange> rejection) ->
+                    refuse(rejection);
+        }
+        updateLoad();
+    }
+
+    private void apply(Decisions<HomeExchange> decisions) {
+        decisions.reject().forEach(EndpointRuntime::refuse);
+        decisions.dispatch().forEach(ticket -> dispatch(ticket.request()));
+        updateLoad();
+    }
+
+    private void dispatch(HomeExchange exchange) {
+        mPool.acquire(exchange.request().idempotent(), exchange::connected);
+    }
+
+    private static void refuse(Rejection<HomeExchange> rejection) {
+        long retryAfter = TimeUnit.NANOSECONDS.toMillis(rejection.retryAfterNanos());
+        rejection
+                .ticket()
+                .request()
+                .refuse(rejection.reason(), "try again after " + retryAfter + " ms");
+    }
+
+    private void startPolling() {
+        if (!mPolling) {
+            mPolling = true;
+            schedulePoll();
+        }
+    }
+
+    private void schedulePoll() {
+        schedule(
+                this::poll,
+                TimeUnit.MILLISECONDS.toNanos(AdmissionController.POLL_INTERVAL_MILLIS));
+    }
+
+    private void poll() {
+        apply(mAdmission.poll());
+        if (mAdmission.waiting() > 0) {
+            schedulePoll();
+        } else {
+            mPolling = false;
+        }
+    }
+
+    private void updateLoad() {
+        long waitNanos = mAdmission.expectedWaitNanos(WorkClass.SHORT);
+        mLoad =
+                new LoadReport(
+                        mAdmission.inFlight(),
+                        mAdmission.waiting(),
+                        mAdmission.limit(),
+                        (int) Math.min(Integer.MAX_VALUE, waitNanos / NANOS_PER_MICRO));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -0,0 +1,267 @@
+package org.arbutuslock.daemon.internal.home;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.Result;
+import org.arbutuslock.daemon.internal.exchange.Exchange;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
+import org.arbutuslock.daemon.internal.exchange.ResponseEvent;
+import org.arbutuslock.daemon.internal.exchange.ResponseListener;
+import org.arbutuslock.internal.admission.Completion;
+import org.arbutuslock.internal.admission.Ticket;
+import org.arbutuslock.internal.execution.ExecutionRecord;
+import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.messages.BufferedResponse;
+import org.arbutuslock.internal.messages.HeaderField;
+
+/**
+ * One admitted request at its home node, from the queue to the end of the response. Confined to the
+ * event loop of its endpoint, but for {@link #grantCredit} and {@link #cancel}.
+ */
+final class HomeExchange implements Exchange {
+    private static final int KEPT_BODY_BYTES = 64 * 1024;
+    private static final int SHED_STATUS = 503;
+    private static final int FIRST_SERVER_ERROR = 500;
+    // A non-idempotent request is not cut off at its deadline, since its outcome could not be
+    // known then. This is how much longer it may run.
+    private static final long EXTRA_NANOS = Duration.ofSeconds(30).toNanos();
+
+    private final EndpointRuntime mEndpoint;
+    private final Clock mClock;
+    private final ExecutionRequest mRequest;
+    private final ExecutionRecord mRecord;
+    private final ResponseListener mListener;
+    private final Ticket<HomeExchange> mTicket;
+    private BackendConnection mConnection;
+    private Future<?> mDeadline;
+    private long mDispatchedNanos;
+    private long mCredit = INITIAL_CREDIT_BYTES;
+    private boolean mDetached;
+    private boolean mDone;
+    private boolean mTimeoutObserved;
+    private int mStatus;
+    private List<HeaderField> mHeaders = List.of();
+    private ByteArrayOutputStream mKeptBody;
+
+    HomeExchange(
+            EndpointRuntime endpoint,
+            Clock clock,
+            ExecutionRequest request,
+            ExecutionRecord record,
+            ResponseListener listener) {
+        mEndpoint = endpoint;
+        mClock = clock;
+        mRequest = request;
+        mRecord = record;
+        mListener = listener;
+        mTicket =
+                new Ticket<>(
+                        this,
+                        request.workClass(),
+                        request.priority(),
+                        request.tenant(),
+                        request.tenantWeight(),
+                        request.deadlineNanos());
+    }
+
+    Ticket<HomeExchange> ticket() {
+        return mTicket;
+    }
+
+    ExecutionRequest request() {
+        return mRequest;
+    }
+
+    /** Refuses a request that was not dispatched. */
+    void refuse(RefusalReason reason, String detail) {
+        mDone = true;
+        if (mRecord.refuse(reason)) {
+            emit(new ResponseEvent.Refused(reason, detail, mEndpoint.load()));
+        }
+    }
+
+    /** Takes the connection on which the request shall be sent, or the reason for its lack. */
+    void connected(Result<BackendConnection> result) {
+        switch (result) {
+            case Result.Success<BackendConnection>(BackendConnection connection) ->
+                    dispatch(connection);
+            case Result.Failed<BackendConnection>(var failure) -> {
+                refuse(RefusalReason.CONNECT_FAILED, failure.toString());
+                observe(ObservedOutcome.CONNECT_FAILED);
+                mEndpoint.finished(this, Completion.FAILED);
+            }
+        }
+    }
+
+    private void dispatch(BackendConnection connection) {
+        // Fails when the request was cancelled or its outcome was asked for in the meantime.
+        if (!mRecord.markDispatched()) {
+            mDone = true;
+            mEndpoint.release(connection);
+            mEndpoint.finished(this, Completion.FAILED);
+            return;
+        }
+        mConnection = connection;
+        mDispatchedNanos = mClock.nanoTime();
+        long remaining = Math.max(0, mRequest.deadlineNanos() - mDispatchedNanos);
+        mDeadline = mEndpoint.schedule(this::deadlinePassed, remaining);
+        if (!mRequest.idempotent()) {
+            mKeptBody = new ByteArrayOutputStream();
+        }
+        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(remaining);
+        connection.send(mRequest, remainingMillis, this::handle);
+    }
+
+    private void handle(BackendEvent event) {
+        if (mDone) {
+            return;
+        }
+        switch (event) {
+            case BackendEvent.Head(int status, List<HeaderField> headers) -> {
+                mStatus = status;
+                mHeaders = headers;
+                observe(classify(status));
+                emit(new ResponseEvent.Head(status, headers, mEndpoint.load()));
+            }
+            case BackendEvent.Body(byte[] data, boolean last) -> handleBody(data, last);
+            case BackendEvent.Broken(String reason) -> {
+                observe(ObservedOutcome.TRUNCATED);
+                failDispatched(reason);
+            }
+        }
+    }
+
+    private void handleBody(byte[] data, boolean last) {
+        keep(data);
+        mCredit -= data.length;
+        if (last) {
+            complete();
+        } else if (mCredit <= 0 && !mDetached) {
+            mConnection.setReading(false);
+        }
+        // Recorded before it is sent, so that a query never finds a response that is not recorded.
+        emit(new ResponseEvent.Body(data, last));
+    }
+
+    private void keep(byte[] data) {
+        if (mKeptBody == null) {
+            return;
+        }
+        if (mKeptBody.size() + data.length > KEPT_BODY_BYTES) {
+            mKeptBody = null;
+        } else {
+            mKeptBody.writeBytes(data);
+        }
+    }
+
+    private void complete() {
+        finish();
+        if (mKeptBody == null) {
+            mRecord.complete();
+        } else {
+            mRecord.complete(new BufferedResponse(mStatus, mHeaders, mKeptBody.toByteArray()));
+        }
+        mEndpoint.release(mConnection);
+        mEndpoint.finished(this, toCompletion(classify(mStatus)));
+    }
+
+    private void failDispatched(String reason) {
+        finish();
+        mRecord.fail();
+        mConnection.abort();
+        emit(new ResponseEvent.OutcomeUnknown(reason, mEndpoint.load()));
+        mEndpoint.finished(this, Completion.FAILED);
+    }
+
+    private void finish() {
+        mDone = true;
+        mDeadline.cancel(false);
+    }
+
+    private void deadlinePassed() {
+        if (mDone) {
+            return;
+        }
+        if (!mTimeoutObserved && mStatus == 0) {
+            mTimeoutObserved = true;
+            observe(ObservedOutcome.TIMEOUT);
+        }
+        long overdue = mClock.nanoTime() - mRequest.deadlineNanos();
+        if (mRequest.idempotent() || overdue >= EXTRA_NANOS) {
+            failDispatched("the deadline passed while the backend server worked on the request");
+        } else {
+            mDeadline = mEndpoint.schedule(this::deadlinePassed, EXTRA_NANOS);
+        }
+    }
+
+    @Override
+    public void grantCredit(int bytes) {
+        mEndpoint.execute(
+                () -> {
+                    mCredit += bytes;
+                    if (mConnection != null && !mDone && mCredit > 0) {
+                        mConnection.setReading(true);
+                    }
+                });
+    }
+
+    @Override
+    public void cancel() {
+        mEndpoint.execute(this::cancelNow);
+    }
+
+    private void cancelNow() {
+        if (mDone) {
+            return;
+        }
+        mDetached = true;
+        if (mConnection == null) {
+            cancelUndispatched();
+        } else if (mRequest.idempotent()) {
+            observe(ObservedOutcome.CANCELLED);
+            failDispatched("cancelled");
+        } else {
+            // Runs on, so that its outcome can be asked for later.
+            mConnection.setReading(true);
+        }
+    }
+
+    private void cancelUndispatched() {
+        mRecord.refuse(RefusalReason.CANCELLED);
+        if (mEndpoint.withdraw(this)) {
+            mDone = true;
+        }
+    }
+
+    private void emit(ResponseEvent event) {
+        if (!mDetached) {
+            mListener.handle(event);
+        }
+    }
+
+    private void observe(ObservedOutcome outcome) {
+        long latency = mDispatchedNanos == 0 ? 0 : mClock.nanoTime() - mDispatchedNanos;
+        mEndpoint.observe(mRequest.workClass(), latency, outcome);
+    }
+
+    private static ObservedOutcome classify(int status) {
+        if (status == SHED_STATUS) {
+            return ObservedOutcome.SHED;
+        }
+        return status >= FIRST_SERVER_ERROR
+                ? ObservedOutcome.SERVER_ERROR
+                : ObservedOutcome.SUCCESS;
+    }
+
+    private static Completion toCompletion(ObservedOutcome outcome) {
+        return switch (outcome) {
+            case SUCCESS -> Completion.SUCCESS;
+            case SHED -> Completion.SHED;
+            default -> Completion.FAILED;
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
@@ -0,0 +1,217 @@
+package org.arbutuslock.daemon.internal.home;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.agrona.collections.Object2ObjectHashMap;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.RequestId;
+import org.arbutuslock.daemon.internal.exchange.Exchange;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
+import org.arbutuslock.daemon.internal.exchange.OutcomeReport;
+import org.arbutuslock.daemon.internal.exchange.ResponseEvent;
+import org.arbutuslock.daemon.internal.exchange.ResponseListener;
+import org.arbutuslock.daemon.internal.sessions.HomeNode;
+import org.arbutuslock.internal.execution.AdmitResult;
+import org.arbutuslock.internal.execution.ExecutionLedger;
+import org.arbutuslock.internal.execution.ExecutionRecord;
+import org.arbutuslock.internal.execution.QueryResult;
+import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.messages.BufferedResponse;
+import org.arbutuslock.internal.messages.LoadReport;
+import org.arbutuslock.internal.messages.OutcomeState;
+
+/**
+ * Executes requests for the backend servers of this host. Sole authority on whether a request has
+ * run: every request passes through the execution ledger.
+ */
+public final class HomeService implements HomeNode {
+    private static final Exchange FINISHED =
+            new Exchange() {
+                @Override
+                public void grantCredit(int bytes) {}
+
+                @Override
+                public void cancel() {}
+            };
+
+    private final Clock mClock;
+    private final ExecutionLedger mLedger;
+    private final EndpointStates mStates;
+    private final AtomicReference<Map<EndpointId, EndpointRuntime>> mEndpoints =
+            new AtomicReference<>(Map.of());
+    private volatile boolean mDraining;
+
+    /**
+     * Creates a service without endpoints.
+     *
+     * @param clock time
+     * @param ledger record of all requests of this incarnation
+     * @param states tells which endpoints take work
+     */
+    public HomeService(Clock clock, ExecutionLedger ledger, EndpointStates states) {
+        mClock = clock;
+        mLedger = ledger;
+        mStates = states;
+    }
+
+    /**
+     * Adds an endpoint or replaces one with the same id.
+     *
+     * @param endpoint the endpoint
+     */
+    public void addEndpoint(EndpointRuntime endpoint) {
+        mEndpoints.updateAndGet(
+                endpoints -> {
+                    var copy = new Object2ObjectHashMap<EndpointId, EndpointRuntime>();
+                    copy.putAll(endpoints);
+                    copy.put(endpoint.id(), endpoint);
+                    return copy;
+                });
+    }
+
+    /**
+     * Removes an endpoint. Requests in progress finish; queued ones are refused.
+     *
+     * @param id the endpoint
+     */
+    public void removeEndpoint(EndpointId id) {
+        EndpointRuntime removed = mEndpoints.get().get(id);
+        mEndpoints.updateAndGet(
+                endpoints -> {
+                    var copy = new Object2ObjectHashMap<EndpointId, EndpointRuntime>();
+                    copy.putAll(endpoints);
+                    copy.remove(id);
+                    return copy;
+                });
+        if (removed != null) {
+            removed.drain();
+            removed.close();
+        }
+    }
+
+    /**
+     * Finds an endpoint of this host.
+     *
+     * @param id the endpoint
+     * @return its runtime, or empty
+     */
+    public Optional<EndpointRuntime> findEndpoint(EndpointId id) {
+        return Optional.ofNullable(mEndpoints.get().get(id));
+    }
+
+    /**
+     * Returns all endpoints of this host.
+     *
+     * @return snapshot by id
+     */
+    public Map<EndpointId, EndpointRuntime> endpoints() {
+        return mEndpoints.get();
+    }
+
+    /** Refuses new requests from now on; requests in progress finish. */
+    public void drain() {
+        mDraining = true;
+        mEndpoints.get().values().forEach(EndpointRuntime::drain);
+    }
+
+    /**
+     * Counts the requests that backend servers of this host work on.
+     *
+     * @return requests in progress
+     */
+    public int activeRequests() {
+        return mEndpoints.get().values().stream()
+                .mapToInt(endpoint -> endpoint.load().active() + endpoint.load().queued())
+                .sum();
+    }
+
+    @Override
+    public long openSession() {
+        return mLedger.openSession();
+    }
+
+    @Override
+    public void closeSession(long session) {
+        mLedger.fenceSession(session);
+    }
+
+    @Override
+    public Exchange submit(long session, ExecutionRequest request, ResponseListener listener) {
+        return switch (mLedger.admit(session, request.id())) {
+            case AdmitResult.Admitted(ExecutionRecord record) -> start(request, record, listener);
+            case AdmitResult.LedgerFull full -> {
+                listener.handle(refusal(RefusalReason.LEDGER_FULL, "too many recent requests"));
+                yield FINISHED;
+            }
+            case AdmitResult.SessionFenced fenced -> unknown(listener, "the session is closed");
+            case AdmitResult.Duplicate duplicate -> unknown(listener, "duplicate request id");
+            case AdmitResult.Forgotten forgotten -> unknown(listener, "late copy of a request");
+        };
+    }
+
+    private Exchange start(
+            ExecutionRequest request, ExecutionRecord record, ResponseListener listener) {
+        EndpointRuntime endpoint = mEndpoints.get().get(request.endpoint());
+        if (mDraining) {
+            return refuse(record, listener, RefusalReason.DRAINING, "the node is shutting down");
+        }
+        if (endpoint == null) {
+            String detail = request.endpoint() + " is not announced at this node";
+            return refuse(record, listener, RefusalReason.UNKNOWN_ENDPOINT, detail);
+        }
+        if (!mStates.takes(request.endpoint(), request.idempotent())) {
+            String detail = request.endpoint() + " is not in service";
+            return refuse(record, listener, RefusalReason.NOT_IN_SERVICE, detail);
+        }
+        HomeExchange exchange = new HomeExchange(endpoint, mClock, request, record, listener);
+        endpoint.offer(exchange);
+        return exchange;
+    }
+
+    private static Exchange refuse(
+            ExecutionRecord record,
+            ResponseListener listener,
+            RefusalReason reason,
+            String detail) {
+        if (record.refuse(reason)) {
+            listener.handle(refusal(reason, detail));
+        }
+        return FINISHED;
+    }
+
+    private static Exchange unknown(ResponseListener listener, String detail) {
+        listener.handle(new ResponseEvent.OutcomeUnknown(detail, LoadReport.UNKNOWN));
+        return FINISHED;
+    }
+
+    private static ResponseEvent refusal(RefusalReason reason, String detail) {
+        return new ResponseEvent.Refused(reason, detail, LoadReport.UNKNOWN);
+    }
+
+    @Override
+    public OutcomeReport query(RequestId id, long incarnation, long fencedSession) {
+        return switch (mLedger.query(id, incarnation, fencedSession)) {
+            case QueryResult.NotRun notRun -> report(OutcomeState.NOT_RUN);
+            case QueryResult.InProgress inProgress -> report(OutcomeState.IN_PROGRESS);
+            case QueryResult.Answered(Optional<?> response) ->
+                    response.map(BufferedResponse.class::cast)
+                            .map(kept -> new OutcomeReport(OutcomeState.ANSWERED, Optional.of(kept)))
+                            .orElseGet(() -> report(OutcomeState.ANSWERED_NOT_KEPT));
+            case QueryResult.Failed failed -> report(OutcomeState.FAILED);
+            case QueryResult.UnknownIncarnation unknown ->
+                    report(OutcomeState.UNKNOWN_INCARNATION);
+            case QueryResult.Forgotten forgotten -> report(OutcomeState.FORGOTTEN);
+        };
+    }
+
+    @Override
+    public void acknowledge(RequestId id) {
+        mLedger.acknowledge(id);
+    }
+
+    private static OutcomeReport report(OutcomeState state) {
+        return new OutcomeReport(state, Optional.empty());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/BodyScheduler.java
@@ -0,0 +1,64 @@
+package org.arbutuslock.daemon.internal.sessions;
+
+import io.netty.channel.Channel;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Queue;
+import org.arbutuslock.internal.messages.PeerMessage;
+
+/**
+ * Interleaves the body parts of many streams on one connection, one part per stream in turn, so
+ * that a long body delays a short one by at most one part per stream. Confined to the event loop
+ * of its channel.
+ */
+final class BodyScheduler {
+    private final Channel mChannel;
+    private final Map<Long, Queue<PeerMessage.ResponseBody>> mPending = new HashMap<>();
+    private final Queue<Long> mTurns = new ArrayDeque<>();
+
+    BodyScheduler(Channel channel) {
+        mChannel = channel;
+    }
+
+    /** Queues one part and writes what the channel takes. */
+    void add(PeerMessage.ResponseBody part) {
+        Queue<PeerMessage.ResponseBody> parts = mPending.get(part.stream());
+        if (parts == null) {
+            parts = new ArrayDeque<>();
+            mPending.put(part.stream(), parts);
+            mTurns.add(part.stream());
+        }
+        parts.add(part);
+        writeWhilePossible();
+    }
+
+    /** Drops the queued parts of a stream whose response will not be completed. */
+    void drop(long stream) {
+        if (mPending.remove(stream) != null) {
+            mTurns.remove(stream);
+        }
+    }
+
+    /** Writes parts in turn until the channel's buffer is full. */
+    void writeWhilePossible() {
+        boolean written = false;
+        while (!mTurns.isEmpty() && mChannel.isWritable()) {
+            writeOnePart(mTurns.remove());
+            written = true;
+        }
+        if (written) {
+            mChannel.flush();
+        }
+    }
+
+    private void writeOnePart(long stream) {
+        Queue<PeerMessage.ResponseBody> parts = mPending.get(stream);
+        mChannel.write(parts.remove(), mChannel.voidPromise());
+        if (parts.isEmpty()) {
+            mPending.remove(stream);
+        } else {
+            mTurns.add(stream);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -0,0 +1,263 @@
+package org.arbutuslock.daemon.internal.sessions;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.RequestId;
+import org.arbutuslock.daemon.internal.exchange.Exchange;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
+import org.arbutuslock.daemon.internal.exchange.OutcomeReport;
+import org.arbutuslock.daemon.internal.exchange.ResponseEvent;
+import org.arbutuslock.daemon.internal.exchange.ResponseListener;
+import org.arbutuslock.daemon.internal.exchange.Submission;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.messages.MessageFormatException;
+import org.arbutuslock.internal.messages.PeerMessage;
+
+/** The connecting end of a session: submits requests and gets their responses. */
+final class ClientSession extends PeerChannel {
+    private static final EventLogger LOGGER = EventLogger.forComponent("sessions");
+
+    private final LocalNode mLocalNode;
+    private final Clock mClock;
+    private final String mPeerAddress;
+    private final ChannelMessages mChannelMessages;
+    private final Runnable mOnSuspected;
+    private final CompletableFuture<ClientSession> mReady = new CompletableFuture<>();
+    private final Map<Long, ResponseListener> mStreams = new HashMap<>();
+    private final Map<Long, CompletableFuture<OutcomeReport>> mQueries = new HashMap<>();
+    private volatile PeerMessage.HelloReply mRemote;
+    private long mLastStream;
+    private long mLastQuery;
+
+    ClientSession(
+            LocalNode localNode,
+            Clock clock,
+            String peerAddress,
+            ChannelMessages channelMessages,
+            Runnable onSuspected) {
+        super(clock);
+        mLocalNode = localNode;
+        mClock = clock;
+        mPeerAddress = peerAddress;
+        mChannelMessages = channelMessages;
+        mOnSuspected = onSuspected;
+    }
+
+    /** Completes when the hello of the other side has arrived. */
+    CompletableFuture<ClientSession> ready() {
+        return mReady;
+    }
+
+    PeerMessage.HelloReply remote() {
+        return mRemote;
+    }
+
+    boolean isOpen() {
+        return mRemote != null && channel().isActive();
+    }
+
+    /** Submits a request. Any thread. */
+    Exchange submit(ExecutionRequest request, ResponseListener listener) {
+        StreamExchange exchange = new StreamExchange();
+        execute(() -> exchange.start(request, listener));
+        return exchange;
+    }
+
+    /** Asks for the outcome of a request submitted on an earlier session. Any thread. */
+    CompletableFuture<OutcomeReport> query(RequestId id, long incarnation, long session) {
+        CompletableFuture<OutcomeReport> reply = new CompletableFuture<>();
+        execute(
+                () -> {
+                    if (!isOpen()) {
+                        reply.completeExceptionally(new IllegalStateException("session closed"));
+                        return;
+                    }
+                    long number = ++mLastQuery;
+                    mQueries.put(number, reply);
+                    send(new PeerMessage.OutcomeQuery(number, id, incarnation, session));
+                });
+        return reply;
+    }
+
+    @Override
+    void opened() {
+        send(
+                new PeerMessage.Hello(
+                        PROTOCOL_VERSION,
+                        PROTOCOL_VERSION,
+                        mLocalNode.name(),
+                        mLocalNode.incarnation(),
+                        mLocalNode.region(),
+                        mLocalNode.availabilityZone()));
+    }
+
+    @Override
+    void handle(PeerMessage message) {
+        switch (message) {
+            case PeerMessage.HelloReply reply -> completeHello(reply);
+            case PeerMessage.ResponseHead head ->
+                    deliver(
+                            head.stream(),
+                            new ResponseEvent.Head(head.status(), head.headers(), head.load()),
+                            false);
+            case PeerMessage.ResponseBody(long stream, byte[] data, boolean last) ->
+                    deliver(stream, new ResponseEvent.Body(data, last), last);
+            case PeerMessage.Refusal refusal ->
+                    deliver(
+                            refusal.stream(),
+                            new ResponseEvent.Refused(
+                                    refusal.reason(), refusal.detail(), refusal.load()),
+                            true);
+            case PeerMessage.OutcomeUnknown unknown ->
+                    deliver(
+                            unknown.stream(),
+                            new ResponseEvent.OutcomeUnknown(unknown.detail(), unknown.load()),
+                            true);
+            case PeerMessage.OutcomeReply reply -> completeQuery(reply);
+            case PeerMessage.ChannelMessage channelMessage -> dispatch(channelMessage);
+            default -> close("unexpected " + message.getClass().getSimpleName());
+        }
+    }
+
+    private void completeHello(PeerMessage.HelloReply reply) {
+        if (reply.version() != PROTOCOL_VERSION) {
+            close("protocol version " + reply.version() + ", allowed " + PROTOCOL_VERSION);
+            return;
+        }
+        mRemote = reply;
+        LOGGER.log(Event.SESSION_OPENED, reply.node(), reply.incarnation(), reply.session());
+        mReady.complete(this);
+    }
+
+    private void completeQuery(PeerMessage.OutcomeReply reply) {
+        CompletableFuture<OutcomeReport> waiting = mQueries.remove(reply.query());
+        if (waiting != null) {
+            waiting.complete(new OutcomeReport(reply.state(), reply.response()));
+        }
+    }
+
+    private void dispatch(PeerMessage.ChannelMessage message) {
+        try {
+            mChannelMessages.dispatch(peerName(), message, this::send);
+        } catch (MessageFormatException malformed) {
+            close(message.channel() + " message: " + malformed.getMessage());
+        }
+    }
+
+    private void deliver(long stream, ResponseEvent event, boolean last) {
+        ResponseListener listener = last ? mStreams.remove(stream) : mStreams.get(stream);
+        // A listener is missing when the stream was cancelled or the frame arrived twice.
+        if (listener != null) {
+            listener.handle(event);
+        }
+    }
+
+    @Override
+    void closed(String reason) {
+        mReady.completeExceptionally(new IllegalStateException(reason));
+        mQueries.values()
+                .forEach(query -> query.completeExceptionally(new IllegalStateException(reason)));
+        mQueries.clear();
+        var listeners = new ArrayList<>(mStreams.values());
+        mStreams.clear();
+        listeners.forEach(
+                listener ->
+                        listener.handle(new ResponseEvent.SessionLost(submission(), reason)));
+    }
+
+    private Submission submission() {
+        return new Submission(
+                mPeerAddress, mRemote.node(), mRemote.incarnation(), mRemote.session());
+    }
+
+    @Override
+    boolean isBusy() {
+        return !mStreams.isEmpty() || !mQueries.isEmpty() || mRemote == null;
+    }
+
+    @Override
+    void suspected() {
+        mOnSuspected.run();
+    }
+
+    @Override
+    String peerName() {
+        return mRemote == null ? mPeerAddress : mRemote.node();
+    }
+
+    private void execute(Runnable step) {
+        if (channel().eventLoop().inEventLoop()) {
+            step.run();
+        } else {
+            channel().eventLoop().execute(step);
+        }
+    }
+
+    private final class StreamExchange implements Exchange {
+        private long mStream;
+
+        private void start(ExecutionRequest request, ResponseListener listener) {
+            if (!isOpen()) {
+                listener.handle(new ResponseEvent.SessionLost(submission(), "session closed"));
+                return;
+            }
+            mStream = ++mLastStream;
+            mStreams.put(mStream, listener);
+            send(toSubmit(request));
+            sendBody(request.body());
+        }
+
+        private PeerMessage.Submit toSubmit(ExecutionRequest request) {
+            long remaining =
+                    TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - mClock.nanoTime());
+            return new PeerMessage.Submit(
+                    mStream,
+                    request.id(),
+                    request.endpoint(),
+                    request.method(),
+                    request.target(),
+                    request.headers(),
+                    request.body().length,
+                    request.workClass(),
+                    request.idempotent(),
+                    request.tenant(),
+                    request.tenantWeight(),
+                    request.priority(),
+                    (int) Math.max(0, remaining));
+        }
+
+        private void sendBody(byte[] body) {
+            int part = PeerMessage.MAXIMUM_BODY_PART_BYTES;
+            for (int from = 0; from < body.length; from += part) {
+                int until = Math.min(body.length, from + part);
+                send(new PeerMessage.RequestBody(mStream, Arrays.copyOfRange(body, from, until)));
+            }
+        }
+
+        @Override
+        public void grantCredit(int bytes) {
+            execute(
+                    () -> {
+                        if (mStreams.containsKey(mStream)) {
+                            send(new PeerMessage.Credit(mStream, bytes));
+                        }
+                    });
+        }
+
+        @Override
+        public void cancel() {
+            execute(
+                    () -> {
+                        if (mStreams.remove(mStream) != null) {
+                            send(new PeerMessage.Cancel(mStream));
+                        }
+                    });
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
@@ -0,0 +1,165 @@
+package org.arbutuslock.daemon.internal.sessions;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.messages.PeerMessage;
+import org.arbutuslock.internal.messages.PeerMessageCodec;
+
+/** Common part of both ends of a session: framing, heartbeats, errors and fair sending. */
+abstract class PeerChannel extends SimpleChannelInboundHandler<PeerMessage> {
+    static final int PROTOCOL_VERSION = 1;
+
+    private static final EventLogger LOGGER = EventLogger.forComponent("sessions");
+
+    private final Clock mClock;
+    private volatile Channel mChannel;
+    private BodyScheduler mBodies;
+    private Heartbeats mHeartbeats;
+    private Future<?> mTicks;
+    private long mHeartbeatNumber;
+    private String mCloseReason = "closed by the other side";
+
+    PeerChannel(Clock clock) {
+        mClock = clock;
+    }
+
+    /** Adds framing and this handler to a new channel. */
+    final void install(Channel channel) {
+        ChannelPipeline pipeline = channel.pipeline();
+        pipeline.addLast(
+                new LengthFieldBasedFrameDecoder(
+                        PeerMessageCodec.MAXIMUM_MESSAGE_BYTES, 0, Integer.BYTES, 0, Integer.BYTES));
+        pipeline.addLast(new PeerMessageDecoder());
+        pipeline.addLast(new PeerMessageEncoder());
+        pipeline.addLast(this);
+    }
+
+    /** Handles one message other than heartbeats, on the event loop. */
+    abstract void handle(PeerMessage message);
+
+    /** Handles the end of the session, once, on the event loop. */
+    abstract void closed(String reason);
+
+    /** Tells whether requests are in progress. Called on the event loop. */
+    abstract boolean isBusy();
+
+    /** Handles a late heartbeat reply, on the event loop. */
+    abstract void suspected();
+
+    /** Returns the name of the other side for logs. */
+    abstract String peerName();
+
+    final Channel channel() {
+        return mChannel;
+    }
+
+    /** Sends a message; body parts take turns with those of other streams. Any thread. */
+    final void send(PeerMessage message) {
+        Channel channel = mChannel;
+        if (channel.eventLoop().inEventLoop()) {
+            sendNow(message);
+        } else {
+            channel.eventLoop().execute(() -> sendNow(message));
+        }
+    }
+
+    private void sendNow(PeerMessage message) {
+        switch (message) {
+            case PeerMessage.ResponseBody part -> mBodies.add(part);
+            case PeerMessage.OutcomeUnknown unknown -> {
+                mBodies.drop(unknown.stream());
+                mChannel.writeAndFlush(message, mChannel.voidPromise());
+            }
+            default -> mChannel.writeAndFlush(message, mChannel.voidPromise());
+        }
+    }
+
+    final void dropBody(long stream) {
+        mBodies.drop(stream);
+    }
+
+    /** Closes the session with a reason that is logged. Any thread. */
+    final void close(String reason) {
+        Channel channel = mChannel;
+        if (!channel.eventLoop().inEventLoop()) {
+            channel.eventLoop().execute(() -> close(reason));
+            return;
+        }
+        mCloseReason = reason;
+        channel.close();
+    }
+
+    /** Sends a last message and closes the session. */
+    final void closeAfter(PeerMessage message, String reason) {
+        mCloseReason = reason;
+        mChannel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mChannel = context.channel();
+        mBodies = new BodyScheduler(mChannel);
+        mHeartbeats = new Heartbeats(mClock.nanoTime());
+        long tick = Heartbeats.TICK.toMillis();
+        mTicks =
+                mChannel.eventLoop()
+                        .scheduleWithFixedDelay(
+                                this::tickHeartbeats, tick, tick, TimeUnit.MILLISECONDS);
+        opened();
+    }
+
+    /** Called when the connection is open, on the event loop. */
+    void opened() {}
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (mTicks != null) {
+            mTicks.cancel(false);
+        }
+        LOGGER.log(Event.SESSION_CLOSED, peerName(), mCloseReason);
+        closed(mCloseReason);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (mBodies != null) {
+            mBodies.writeWhilePossible();
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
+        mHeartbeats.received(mClock.nanoTime());
+        switch (message) {
+            case PeerMessage.Heartbeat(long number) -> send(new PeerMessage.HeartbeatReply(number));
+            case PeerMessage.HeartbeatReply reply -> {}
+            default -> handle(message);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Throwable root = cause.getCause() == null ? cause : cause.getCause();
+        LOGGER.log(Event.SESSION_ERROR, peerName(), root.getMessage());
+        mCloseReason = String.valueOf(root.getMessage());
+        context.close();
+    }
+
+    private void tickHeartbeats() {
+        switch (mHeartbeats.tick(mClock.nanoTime(), isBusy())) {
+            case NOTHING -> {}
+            case SEND_HEARTBEAT -> send(new PeerMessage.Heartbeat(mHeartbeatNumber++));
+            case OPEN_REPLACEMENT -> suspected();
+            case GIVE_UP -> close("no reply to a heartbeat");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -0,0 +1,294 @@
+package org.arbutuslock.daemon.internal.sessions;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.daemon.internal.exchange.Exchange;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
+import org.arbutuslock.daemon.internal.exchange.OutcomeReport;
+import org.arbutuslock.daemon.internal.exchange.ResponseEvent;
+import org.arbutuslock.daemon.internal.exchange.ResponseListener;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.messages.MessageFormatException;
+import org.arbutuslock.internal.messages.PeerMessage;
+
+/** The accepting end of a session: executes the requests of one entry node. */
+final class ServerSession extends PeerChannel {
+    private static final EventLogger LOGGER = EventLogger.forComponent("sessions");
+    private static final int MAXIMUM_STREAMS = 16_384;
+
+    private final LocalNode mLocalNode;
+    private final Clock mClock;
+    private final HomeNode mHomeNode;
+    private final ChannelMessages mChannelMessages;
+    private final Map<Long, Incoming> mIncoming = new HashMap<>();
+    private final Map<Long, Exchange> mExchanges = new HashMap<>();
+    private String mPeer = "";
+    private long mSession;
+    private long mLastStream;
+
+    ServerSession(
+            LocalNode localNode, Clock clock, HomeNode homeNode, ChannelMessages channelMessages) {
+        super(clock);
+        mLocalNode = localNode;
+        mClock = clock;
+        mHomeNode = homeNode;
+        mChannelMessages = channelMessages;
+    }
+
+    @Override
+    void handle(PeerMessage message) {
+        if (mPeer.isEmpty()) {
+            completeHello(message);
+            return;
+        }
+        switch (message) {
+            case PeerMessage.Submit submit -> receiveSubmit(submit);
+            case PeerMessage.RequestBody(long stream, byte[] data) -> receiveBody(stream, data);
+            case PeerMessage.Credit(long stream, int bytes) -> {
+                Exchange exchange = mExchanges.get(stream);
+                if (exchange != null) {
+                    exchange.grantCredit(bytes);
+                }
+            }
+            case PeerMessage.Cancel(long stream) -> cancel(stream);
+            case PeerMessage.OutcomeQuery query -> reply(query);
+            case PeerMessage.Acknowledge acknowledge ->
+                    mHomeNode.acknowledge(acknowledge.requestId());
+            case PeerMessage.ChannelMessage channelMessage -> dispatch(channelMessage);
+            default -> close("unexpected " + message.getClass().getSimpleName());
+        }
+    }
+
+    private void completeHello(PeerMessage message) {
+        if (!(message instanceof PeerMessage.Hello hello)) {
+            close("a session starts with Hello, read " + message.getClass().getSimpleName());
+            return;
+        }
+        mPeer = hello.node();
+        mSession = mHomeNode.openSession();
+        PeerMessage reply =
+                new PeerMessage.HelloReply(
+                        PROTOCOL_VERSION,
+                        mLocalNode.name(),
+                        mLocalNode.incarnation(),
+                        mSession,
+                        mLocalNode.region(),
+                        mLocalNode.availabilityZone());
+        boolean overlap =
+                hello.lowestVersion() <= PROTOCOL_VERSION
+                        && hello.highestVersion() >= PROTOCOL_VERSION;
+        if (!overlap) {
+            closeAfter(
+                    reply,
+                    "protocol versions "
+                            + hello.lowestVersion()
+                            + " to "
+                            + hello.highestVersion()
+                            + ", allowed "
+                            + PROTOCOL_VERSION);
+            return;
+        }
+        LOGGER.log(Event.SESSION_ACCEPTED, mPeer, hello.incarnation(), mSession);
+        send(reply);
+    }
+
+    private void receiveSubmit(PeerMessage.Submit submit) {
+        if (submit.stream() <= mLastStream) {
+            LOGGER.log(Event.DUPLICATE_FRAME, mPeer, submit.stream(), mLastStream);
+            return;
+        }
+        mLastStream = submit.stream();
+        if (mExchanges.size() + mIncoming.size() >= MAXIMUM_STREAMS) {
+            close("more than " + MAXIMUM_STREAMS + " streams");
+            return;
+        }
+        Incoming incoming = new Incoming(submit);
+        mIncoming.put(submit.stream(), incoming);
+        incoming.startIfComplete();
+    }
+
+    private void receiveBody(long stream, byte[] data) {
+        Incoming incoming = mIncoming.get(stream);
+        if (incoming != null) {
+            incoming.append(data);
+        }
+    }
+
+    private void cancel(long stream) {
+        mIncoming.remove(stream);
+        Exchange exchange = mExchanges.remove(stream);
+        if (exchange != null) {
+            exchange.cancel();
+            dropBody(stream);
+        }
+    }
+
+    private void reply(PeerMessage.OutcomeQuery query) {
+        OutcomeReport report =
+                mHomeNode.query(query.requestId(), query.incarnation(), query.fencedSession());
+        send(new PeerMessage.OutcomeReply(query.query(), report.state(), report.response()));
+    }
+
+    private void dispatch(PeerMessage.ChannelMessage message) {
+        try {
+            mChannelMessages.dispatch(mPeer, message, this::send);
+        } catch (MessageFormatException malformed) {
+            close(message.channel() + " message: " + malformed.getMessage());
+        }
+    }
+
+    private void forward(long stream, ResponseEvent event) {
+        switch (event) {
+            case ResponseEvent.Head head ->
+                    send(
+                            new PeerMessage.ResponseHead(
+                                    stream, head.status(), head.headers(), head.load()));
+            case ResponseEvent.Body(byte[] data, boolean last) -> sendParts(stream, data, last);
+            case ResponseEvent.Refused refused -> {
+                finish(stream);
+                send(
+                        new PeerMessage.Refusal(
+                                stream, refused.reason(), refused.detail(), refused.load()));
+            }
+            case ResponseEvent.OutcomeUnknown(String detail, var load) -> {
+                finish(stream);
+                send(new PeerMessage.OutcomeUnknown(stream, detail, load));
+            }
+            case ResponseEvent.SessionLost lost ->
+                    throw new IllegalStateException("a home node has no session to lose");
+        }
+    }
+
+    private void sendParts(long stream, byte[] data, boolean last) {
+        int part = PeerMessage.MAXIMUM_BODY_PART_BYTES;
+        int from = 0;
+        while (data.length - from > part) {
+            byte[] slice = Arrays.copyOfRange(data, from, from + part);
+            send(new PeerMessage.ResponseBody(stream, slice, false));
+            from += part;
+        }
+        byte[] rest = from == 0 ? data : Arrays.copyOfRange(data, from, data.length);
+        if (last) {
+            finish(stream);
+        }
+        send(new PeerMessage.ResponseBody(stream, rest, last));
+    }
+
+    /** Forgets the exchange of a stream; its queued body parts are still sent. */
+    private void finish(long stream) {
+        if (channel().eventLoop().inEventLoop()) {
+            mExchanges.remove(stream);
+        } else {
+            channel().eventLoop().execute(() -> mExchanges.remove(stream));
+        }
+    }
+
+    @Override
+    void closed(String reason) {
+        if (!mPeer.isEmpty()) {
+            mHomeNode.closeSession(mSession);
+        }
+        mIncoming.clear();
+        mExchanges.values().forEach(Exchange::cancel);
+        mExchanges.clear();
+    }
+
+    @Override
+    boolean isBusy() {
+        return !mExchanges.isEmpty() || mPeer.isEmpty();
+    }
+
+    @Override
+    void suspected() {}
+
+    @Override
+    String peerName() {
+        return mPeer.isEmpty() ? String.valueOf(channel().remoteAddress()) : mPeer;
+    }
+
+    /** A request whose body has not arrived completely. */
+    private final class Incoming {
+        private final PeerMessage.Submit mSubmit;
+        private final long mDeadlineNanos;
+        private byte[] mBody = new byte[0];
+        private int mLength;
+
+        private Incoming(PeerMessage.Submit submit) {
+            mSubmit = submit;
+            mDeadlineNanos =
+                    mClock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(submit.remainingMillis());
+        }
+
+        private void append(byte[] data) {
+            if (mLength + data.length > mSubmit.bodyBytes()) {
+                close("stream " + mSubmit.stream() + ": body longer than announced");
+                return;
+            }
+            if (mBody.length < mLength + data.length) {
+                int doubled = Math.max(mLength + data.length, mBody.length * 2);
+                mBody = Arrays.copyOf(mBody, Math.min(mSubmit.bodyBytes(), doubled));
+            }
+            System.arraycopy(data, 0, mBody, mLength, data.length);
+            mLength += data.length;
+            startIfComplete();
+        }
+
+        private void startIfComplete() {
+            if (mLength < mSubmit.bodyBytes()) {
+                return;
+            }
+            long stream = mSubmit.stream();
+            mIncoming.remove(stream);
+            StreamListener listener = new StreamListener(stream);
+            Exchange exchange = mHomeNode.submit(mSession, toRequest(), listener);
+            if (!listener.isFinished()) {
+                mExchanges.put(stream, exchange);
+            }
+        }
+
+        private ExecutionRequest toRequest() {
+            return new ExecutionRequest(
+                    mSubmit.requestId(),
+                    mSubmit.endpoint(),
+                    mSubmit.method(),
+                    mSubmit.target(),
+                    mSubmit.headers(),
+                    mBody,
+                    mSubmit.workClass(),
+                    mSubmit.idempotent(),
+                    mSubmit.tenant(),
+                    mSubmit.tenantWeight(),
+                    mSubmit.priority(),
+                    mDeadlineNanos);
+        }
+    }
+
+    /** Remembers the end of a response that finishes before its exchange is registered. */
+    private final class StreamListener
+            implements ResponseListener {
+        private final long mStream;
+        private volatile boolean mFinished;
+
+        private StreamListener(long stream) {
+            mStream = stream;
+        }
+
+        private boolean isFinished() {
+            return mFinished;
+        }
+
+        @Override
+        public void handle(ResponseEvent event) {
+            boolean more =
+                    event instanceof ResponseEvent.Head
+                            || event instanceof ResponseEvent.Body(byte[] data, boolean last)
+                                    && !last;
+            mFinished = !more;
+            forward(mStream, event);
+        }
+    }
+}
