--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/AdmissionController.java
@@ -0,0 +1,364 @@
+package org.arbutuslock.internal.admission;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.internal.execution.RefusalReason;
+
+/**
+ * Decides which requests one backend server gets now, which wait and which are refused. Confined to
+ * one thread.
+ *
+ * <pre>{@code
+ * switch (controller.offer(ticket)) {
+ *     case OfferResult.Dispatch<Request>(var now) -> send(now);
+ *     case OfferResult.Queued<Request>(var displaced) -> displaced.forEach(this::refuse);
+ *     case OfferResult.Rejected<Request>(var rejection) -> refuse(rejection);
+ * }
+ * apply(controller.finished(ticket, Completion.SUCCESS));
+ * apply(controller.poll()); // every POLL_INTERVAL_MILLIS while requests wait
+ * }</pre>
+ *
+ * @param <T> type of the requests
+ */
+public final class AdmissionController<T> {
+    /** Longest time between two calls of {@link #poll()} while requests wait. */
+    public static final int POLL_INTERVAL_MILLIS = 5;
+
+    private static final WorkClass[] CLASSES = WorkClass.values();
+    // A request that waits must fit into its deadline with twice the expected wait and twice the
+    // usual latency, since a refusal after the decision time would come too late for the caller.
+    private static final double SAFETY = 2.0;
+    // Slot time of the two classes when both wait at the same priority: short work gets two thirds.
+    private static final double[] CLASS_WEIGHTS = {2.0, 1.0};
+
+    private final Clock mClock;
+    private final AdmissionSettings mSettings;
+    private final ConcurrencyLimit mLimit;
+    private final List<WaitingQueue<T>> mQueues = new ArrayList<>();
+    private final ArrayDeque<Ticket<T>> mUndecided = new ArrayDeque<>();
+    private final TreeSet<Ticket<T>> mByDeadline = new TreeSet<>(Ticket::compareByDeadline);
+    private final int[] mInFlight = new int[CLASSES.length];
+    private final double[] mClassTime = new double[CLASSES.length];
+    private long mSequence;
+    private boolean mDraining;
+
+    /**
+     * Creates a controller for a cold backend server.
+     *
+     * @param clock time
+     * @param settings bounds
+     */
+    public AdmissionController(Clock clock, AdmissionSettings settings) {
+        mClock = clock;
+        mSettings = settings;
+        mLimit = new ConcurrencyLimit(clock, settings);
+        for (WorkClass workClass : CLASSES) {
+            mQueues.add(new WaitingQueue<>());
+        }
+    }
+
+    /**
+     * Decides on a new request.
+     *
+     * @param ticket ticket that was not offered before
+     * @return dispatch now, queued or rejected
+     */
+    public OfferResult<T> offer(Ticket<T> ticket) {
+        long now = mClock.nanoTime();
+        ticket.markOffered(now, mSequence++);
+        if (mDraining) {
+            return new OfferResult.Rejected<>(close(ticket, RefusalReason.DRAINING));
+        }
+        if (queue(ticket.workClass()).size() == 0 && hasSlot(ticket.workClass())) {
+            return dispatchOrReject(ticket, now);
+        }
+        if (!fits(ticket, now)) {
+            return new OfferResult.Rejected<>(close(ticket, RefusalReason.DEADLINE));
+        }
+        return enqueue(ticket);
+    }
+
+    private OfferResult<T> dispatchOrReject(Ticket<T> ticket, long now) {
+        if (isHopeless(ticket, now)) {
+            return new OfferResult.Rejected<>(close(ticket, RefusalReason.DEADLINE));
+        }
+        occupy(ticket, now);
+        return new OfferResult.Dispatch<>(ticket);
+    }
+
+    private OfferResult<T> enqueue(Ticket<T> ticket) {
+        List<Rejection<T>> displaced = List.of();
+        if (mByDeadline.size() >= mSettings.queueCapacity()) {
+            Ticket<T> victim = findDisplaced(ticket);
+            if (victim == null) {
+                return new OfferResult.Rejected<>(close(ticket, RefusalReason.QUEUE_FULL));
+            }
+            removeQueued(victim);
+            displaced = List.of(close(victim, RefusalReason.DISPLACED));
+        }
+        addQueued(ticket);
+        return new OfferResult.Queued<>(displaced);
+    }
+
+    private Ticket<T> findDisplaced(Ticket<T> newcomer) {
+        Ticket<T> victim = queue(newcomer.workClass()).findDisplaced(newcomer);
+        if (victim != null) {
+            return victim;
+        }
+        // Long work fills the queue more easily, as it waits longer.
+        return newcomer.workClass() == WorkClass.SHORT
+                ? queue(WorkClass.LONG).findDisplaced(newcomer)
+                : null;
+    }
+
+    private void addQueued(Ticket<T> ticket) {
+        int index = ticket.workClass().ordinal();
+        if (queue(ticket.workClass()).size() == 0) {
+            mClassTime[index] = Math.max(mClassTime[index], mClassTime[1 - index]);
+        }
+        queue(ticket.workClass()).add(ticket);
+        mByDeadline.add(ticket);
+        mUndecided.add(ticket);
+        ticket.enter(Ticket.Stage.QUEUED);
+    }
+
+    private void removeQueued(Ticket<T> ticket) {
+        queue(ticket.workClass()).remove(ticket);
+        mByDeadline.remove(ticket);
+    }
+
+    /**
+     * Ends a dispatched request.
+     *
+     * @param ticket its ticket
+     * @param completion how it ended
+     * @return requests to dispatch and to refuse now
+     */
+    public Decisions<T> finished(Ticket<T> ticket, Completion completion) {
+        if (ticket.stage() != Ticket.Stage.DISPATCHED) {
+            throw new IllegalStateException(
+                    "a ticket in stage "
+                            + ticket.stage()
+                            + " cannot finish; pass each dispatched ticket once");
+        }
+        long now = mClock.nanoTime();
+        mLimit.record(ticket.workClass(), ticket.inFlightNanos(now), completion, inFlight());
+        mInFlight[ticket.workClass().ordinal()]--;
+        ticket.enter(Ticket.Stage.CLOSED);
+        return fillSlots(new Decisions<>(), now);
+    }
+
+    /**
+     * Withdraws a waiting request. A dispatched one is ended by {@link #finished}.
+     *
+     * @param ticket its ticket
+     * @return true when the request was waiting
+     */
+    public boolean cancel(Ticket<T> ticket) {
+        boolean waiting = ticket.stage() == Ticket.Stage.QUEUED;
+        if (waiting) {
+            removeQueued(ticket);
+            ticket.enter(Ticket.Stage.CLOSED);
+        }
+        return waiting;
+    }
+
+    /**
+     * Applies the passage of time to waiting requests.
+     *
+     * @return requests to dispatch and to refuse now
+     */
+    public Decisions<T> poll() {
+        long now = mClock.nanoTime();
+        Decisions<T> decisions = fillSlots(new Decisions<>(), now);
+        rejectExpired(decisions, now);
+        decideAged(decisions, now);
+        return decisions;
+    }
+
+    private void rejectExpired(Decisions<T> decisions, long now) {
+        while (!mByDeadline.isEmpty() && mByDeadline.first().remainingNanos(now) <= 0) {
+            Ticket<T> expired = mByDeadline.first();
+            removeQueued(expired);
+            decisions.reject().add(close(expired, RefusalReason.DEADLINE));
+        }
+    }
+
+    /** Refuses early what would be refused later; what remains is not displaced any more. */
+    private void decideAged(Decisions<T> decisions, long now) {
+        long decisionNanos = mSettings.decisionTime().toNanos();
+        while (!mUndecided.isEmpty() && mUndecided.peek().ageNanos(now) >= decisionNanos) {
+            Ticket<T> aged = mUndecided.poll();
+            if (aged.stage() != Ticket.Stage.QUEUED) {
+                continue;
+            }
+            if (fits(aged, now)) {
+                aged.commit();
+            } else {
+                removeQueued(aged);
+                decisions.reject().add(close(aged, RefusalReason.DEADLINE));
+            }
+        }
+    }
+
+    /**
+     * Estimates how long a request of average priority would wait.
+     *
+     * @param workClass short or long
+     * @return nanoseconds, 0 when a slot is free
+     */
+    public long expectedWaitNanos(WorkClass workClass) {
+        int waiting = queue(workClass).size();
+        return waiting == 0 && hasSlot(workClass) ? 0 : (long) waitNanos(workClass, waiting);
+    }
+
+    private double waitNanos(WorkClass workClass, int ahead) {
+        return (ahead + 1) * mLimit.latencyNanos(workClass) / slotsFor(workClass);
+    }
+
+    private int slotsFor(WorkClass workClass) {
+        return switch (workClass) {
+            case SHORT -> Math.max(1, mLimit.limit() - mInFlight[WorkClass.LONG.ordinal()]);
+            case LONG -> longLimit();
+        };
+    }
+
+    private boolean fits(Ticket<T> ticket, long now) {
+        int ahead = queue(ticket.workClass()).countAhead(ticket);
+        double wait = waitNanos(ticket.workClass(), ahead);
+        double latency = mLimit.latencyNanos(ticket.workClass());
+        return SAFETY * (wait + latency) <= ticket.remainingNanos(now);
+    }
+
+    private boolean isHopeless(Ticket<T> ticket, long now) {
+        double leastLatency = mLimit.latencyNanos(ticket.workClass()) / SAFETY;
+        long remaining = ticket.remainingNanos(now);
+        return remaining <= 0 || remaining < leastLatency;
+    }
+
+    /**
+     * Refuses everything that waits and all new requests; dispatched ones finish.
+     *
+     * @return requests to refuse now
+     */
+    public Decisions<T> drain() {
+        mDraining = true;
+        Decisions<T> decisions = new Decisions<>();
+        while (!mByDeadline.isEmpty()) {
+            Ticket<T> waiting = mByDeadline.first();
+            removeQueued(waiting);
+            decisions.reject().add(close(waiting, RefusalReason.DRAINING));
+        }
+        return decisions;
+    }
+
+    /** Takes new requests again after {@link #drain()} or a restart of the backend server. */
+    public void startCold() {
+        mDraining = false;
+        mLimit.restart();
+    }
+
+    private Decisions<T> fillSlots(Decisions<T> decisions, long now) {
+        WorkClass next = nextClass();
+        while (next != null) {
+            Ticket<T> ticket = queue(next).poll();
+            mByDeadline.remove(ticket);
+            if (isHopeless(ticket, now)) {
+                decisions.reject().add(close(ticket, RefusalReason.DEADLINE));
+            } else {
+                charge(next);
+                occupy(ticket, now);
+                decisions.dispatch().add(ticket);
+            }
+            next = nextClass();
+        }
+        return decisions;
+    }
+
+    private void charge(WorkClass workClass) {
+        int index = workClass.ordinal();
+        mClassTime[index] += mLimit.latencyNanos(workClass) / CLASS_WEIGHTS[index];
+    }
+
+    /** Returns the class whose next request is dispatched, or null. */
+    private WorkClass nextClass() {
+        boolean shortReady = isReady(WorkClass.SHORT);
+        boolean longReady = isReady(WorkClass.LONG);
+        if (!shortReady || !longReady) {
+            return shortReady ? WorkClass.SHORT : longReady ? WorkClass.LONG : null;
+        }
+        int shortPriority = queue(WorkClass.SHORT).highestPriority();
+        int longPriority = queue(WorkClass.LONG).highestPriority();
+        if (shortPriority != longPriority) {
+            return shortPriority > longPriority ? WorkClass.SHORT : WorkClass.LONG;
+        }
+        return mClassTime[0] <= mClassTime[1] ? WorkClass.SHORT : WorkClass.LONG;
+    }
+
+    private boolean isReady(WorkClass workClass) {
+        return queue(workClass).size() > 0 && hasSlot(workClass);
+    }
+
+    private boolean hasSlot(WorkClass workClass) {
+        boolean belowLimit = inFlight() < mLimit.limit();
+        int shortInFlight = mInFlight[WorkClass.SHORT.ordinal()];
+        int longInFlight = mInFlight[WorkClass.LONG.ordinal()];
+        return switch (workClass) {
+            // The reserve holds even when long work occupies a limit that has fallen meanwhile.
+            case SHORT ->
+                    belowLimit || longInFlight > 0 && shortInFlight < mSettings.shortReserve();
+            case LONG -> belowLimit && longInFlight < longLimit();
+        };
+    }
+
+    /** Long work may use all slots but the reserve, and never the overcommit. */
+    private int longLimit() {
+        int usable = Math.min(mLimit.limit(), mSettings.slots());
+        return Math.max(1, usable - mSettings.shortReserve());
+    }
+
+    private void occupy(Ticket<T> ticket, long now) {
+        ticket.markDispatched(now);
+        mInFlight[ticket.workClass().ordinal()]++;
+    }
+
+    private Rejection<T> close(Ticket<T> ticket, RefusalReason reason) {
+        ticket.enter(Ticket.Stage.CLOSED);
+        return new Rejection<>(ticket, reason, expectedWaitNanos(ticket.workClass()));
+    }
+
+    private WaitingQueue<T> queue(WorkClass workClass) {
+        return mQueues.get(workClass.ordinal());
+    }
+
+    /**
+     * Returns the current concurrency limit.
+     *
+     * @return 1 to slots plus overcommit
+     */
+    public int limit() {
+        return mLimit.limit();
+    }
+
+    /**
+     * Returns the number of requests at the backend server.
+     *
+     * @return both classes together
+     */
+    public int inFlight() {
+        return mInFlight[0] + mInFlight[1];
+    }
+
+    /**
+     * Returns the number of waiting requests.
+     *
+     * @return both classes together
+     */
+    public int waiting() {
+        return mByDeadline.size();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/ConcurrencyLimit.java
@@ -0,0 +1,102 @@
+package org.arbutuslock.internal.admission;
+
+import java.util.Arrays;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.WorkClass;
+
+/**
+ * Learns how many requests the backend server can take at once. The limit rises by about one for
+ * each round of completions while it is in use, and falls when the backend server sheds load or
+ * when latency rises well above what the same class took before.
+ */
+final class ConcurrencyLimit {
+    private static final double SAMPLE_SHARE = 0.05;
+    // Lets the baseline follow a backend server that is permanently slower: half the way in about
+    // 140 completions.
+    private static final double BASELINE_SHARE = 0.005;
+    // With one request above the slots, latency is at most 4/3 of the baseline on three slots; the
+    // rest is room for the noise of the average.
+    private static final double TOLERATED_RATIO = 2.0;
+    private static final double LATENCY_DECREASE = 0.97;
+    private static final double SHED_DECREASE = 0.7;
+    // The first completions are averaged, so that one unusual latency does not become the baseline.
+    private static final int WARM_UP_SAMPLES = 20;
+
+    private final Clock mClock;
+    private final AdmissionSettings mSettings;
+    private final double[] mLatencyNanos = new double[WorkClass.values().length];
+    private final double[] mBaselineNanos = new double[WorkClass.values().length];
+    private final int[] mSamples = new int[WorkClass.values().length];
+    private double mLimit;
+    private long mRampStartNanos;
+    private long mLastShedNanos;
+
+    ConcurrencyLimit(Clock clock, AdmissionSettings settings) {
+        mClock = clock;
+        mSettings = settings;
+        restart();
+    }
+
+    /** Starts the ramp of a cold backend server and forgets its latency. */
+    void restart() {
+        mLimit = mSettings.maximumLimit();
+        mRampStartNanos = mClock.nanoTime();
+        mLastShedNanos = mRampStartNanos;
+        Arrays.fill(mLatencyNanos, 0);
+        Arrays.fill(mBaselineNanos, 0);
+        Arrays.fill(mSamples, 0);
+    }
+
+    int limit() {
+        return (int) Math.max(1, Math.min(mLimit, rampLimit()));
+    }
+
+    private double rampLimit() {
+        double elapsed = mClock.nanoTime() - mRampStartNanos;
+        double ramp = Math.max(1, mSettings.coldStartRamp().toNanos());
+        return 1 + (mSettings.maximumLimit() - 1) * Math.min(1, elapsed / ramp);
+    }
+
+    /** Returns the usual time from dispatch to completion, or 0 before the first completion. */
+    double latencyNanos(WorkClass workClass) {
+        return mLatencyNanos[workClass.ordinal()];
+    }
+
+    void record(WorkClass workClass, long latencyNanos, Completion completion, int inFlight) {
+        switch (completion) {
+            case SUCCESS -> recordSuccess(workClass.ordinal(), latencyNanos, inFlight);
+            case SHED -> recordShed(workClass);
+            case FAILED -> {}
+        }
+    }
+
+    private void recordSuccess(int index, long latencyNanos, int inFlight) {
+        updateLatency(index, latencyNanos);
+        if (mLatencyNanos[index] > TOLERATED_RATIO * mBaselineNanos[index]) {
+            mLimit = Math.max(1, mLimit * LATENCY_DECREASE);
+        } else if (inFlight >= (int) mLimit) {
+            mLimit = Math.min(mSettings.maximumLimit(), mLimit + 1 / mLimit);
+        }
+    }
+
+    private void updateLatency(int index, long latencyNanos) {
+        if (mSamples[index] < WARM_UP_SAMPLES) {
+            mSamples[index]++;
+            mLatencyNanos[index] += (latencyNanos - mLatencyNanos[index]) / mSamples[index];
+            mBaselineNanos[index] = mLatencyNanos[index];
+            return;
+        }
+        mLatencyNanos[index] += SAMPLE_SHARE * (latencyNanos - mLatencyNanos[index]);
+        double above = mLatencyNanos[index] - mBaselineNanos[index];
+        mBaselineNanos[index] += above < 0 ? above : BASELINE_SHARE * above;
+    }
+
+    /** Several refusals of one burst count once. */
+    private void recordShed(WorkClass workClass) {
+        long now = mClock.nanoTime();
+        if (now - mLastShedNanos >= mLatencyNanos[workClass.ordinal()]) {
+            mLimit = Math.max(1, mLimit * SHED_DECREASE);
+            mLastShedNanos = now;
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/Ticket.java
@@ -0,0 +1,154 @@
+package org.arbutuslock.internal.admission;
+
+import org.arbutuslock.api.WorkClass;
+
+/**
+ * One request before an {@link AdmissionController}. A ticket is offered once.
+ *
+ * @param <T> type of the request that it stands for
+ */
+public final class Ticket<T> {
+    /** Highest priority. */
+    public static final int MAXIMUM_PRIORITY = 9;
+
+    enum Stage {
+        NEW,
+        QUEUED,
+        DISPATCHED,
+        CLOSED
+    }
+
+    private final T mRequest;
+    private final WorkClass mWorkClass;
+    private final int mPriority;
+    private final String mTenant;
+    private final int mTenantWeight;
+    private final long mDeadlineNanos;
+    private Stage mStage = Stage.NEW;
+    private long mSequence;
+    private long mArrivedNanos;
+    private long mDispatchedNanos;
+    private boolean mCommitted;
+
+    /**
+     * Creates a ticket.
+     *
+     * @param request request that it stands for
+     * @param workClass short or long work
+     * @param priority 0 (dropped first) to 9 (dropped last)
+     * @param tenant name of the tenant
+     * @param tenantWeight share of the tenant relative to others, at least 1
+     * @param deadlineNanos reading of the controller's clock at which the caller gives up
+     */
+    public Ticket(
+            T request,
+            WorkClass workClass,
+            int priority,
+            String tenant,
+            int tenantWeight,
+            long deadlineNanos) {
+        if (priority < 0 || priority > MAXIMUM_PRIORITY || tenantWeight < 1) {
+            throw new IllegalArgumentException(
+                    "a ticket needs a priority of 0 to 9 and a weight of at least 1, but priority="
+                            + priority
+                            + ", weight="
+                            + tenantWeight);
+        }
+        mRequest = request;
+        mWorkClass = workClass;
+        mPriority = priority;
+        mTenant = tenant;
+        mTenantWeight = tenantWeight;
+        mDeadlineNanos = deadlineNanos;
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @return request that this ticket stands for
+     */
+    public T request() {
+        return mRequest;
+    }
+
+    /**
+     * Returns the class of work.
+     *
+     * @return short or long
+     */
+    public WorkClass workClass() {
+        return mWorkClass;
+    }
+
+    /**
+     * Returns the time from the offer to the dispatch.
+     *
+     * @return nanoseconds, 0 before the dispatch
+     */
+    public long waitedNanos() {
+        return mStage == Stage.DISPATCHED || mStage == Stage.CLOSED
+                ? mDispatchedNanos - mArrivedNanos
+                : 0;
+    }
+
+    int priority() {
+        return mPriority;
+    }
+
+    String tenant() {
+        return mTenant;
+    }
+
+    int tenantWeight() {
+        return mTenantWeight;
+    }
+
+    long remainingNanos(long now) {
+        return mDeadlineNanos - now;
+    }
+
+    void markOffered(long now, long sequence) {
+        if (mStage != Stage.NEW) {
+            throw new IllegalStateException("the ticket was offered before; create a new one");
+        }
+        mArrivedNanos = now;
+        mDispatchedNanos = now;
+        mSequence = sequence;
+    }
+
+    void markDispatched(long now) {
+        mDispatchedNanos = now;
+        mStage = Stage.DISPATCHED;
+    }
+
+    void enter(Stage stage) {
+        mStage = stage;
+    }
+
+    Stage stage() {
+        return mStage;
+    }
+
+    long ageNanos(long now) {
+        return now - mArrivedNanos;
+    }
+
+    long inFlightNanos(long now) {
+        return now - mDispatchedNanos;
+    }
+
+    void commit() {
+        mCommitted = true;
+    }
+
+    boolean isCommitted() {
+        return mCommitted;
+    }
+
+    static int compareByDeadline(Ticket<?> left, Ticket<?> right) {
+        long difference = left.mDeadlineNanos - right.mDeadlineNanos;
+        return difference != 0
+                ? Long.signum(difference)
+                : Long.compare(left.mSequence, right.mSequence);
+    }
+}
