--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationValidator.java
@@ -0,0 +1,202 @@
+package org.arbutuslock.internal.configuration;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.arbutuslock.api.RouteDefinition;
+import org.arbutuslock.api.ServiceDefinition;
+import org.arbutuslock.api.TenantDefinition;
+import org.arbutuslock.internal.routing.RouteOverlap;
+
+/**
+ * Checks changes and whole configurations and returns all errors at once. Checking a change costs
+ * in proportion to the change, except that deleting a service reads all routes once.
+ *
+ * <pre>{@code
+ * List<ValidationError> errors = ConfigurationValidator.validate(current, operations);
+ * }</pre>
+ */
+public final class ConfigurationValidator {
+    private ConfigurationValidator() {}
+
+    /**
+     * Checks the operations of a change against the configuration that they change.
+     *
+     * @param current configuration before the change
+     * @param operations operations of the change
+     * @return all errors, empty when the change is valid
+     */
+    public static List<ValidationError> validate(
+            Configuration current, List<ConfigurationOperation> operations) {
+        List<ValidationError> errors = new ArrayList<>();
+        EntityChecks checks = new EntityChecks(errors);
+        checks.requireRange(
+                "change",
+                "operations",
+                operations.size(),
+                1,
+                ConfigurationLimits.OPERATIONS_PER_CHANGE);
+        operations.forEach(operation -> checkFields(checks, operation));
+        checkTargets(checks, current, operations);
+        if (!errors.isEmpty()) {
+            // Malformed entities cannot be applied, so that references cannot be checked.
+            return errors;
+        }
+        Configuration.Entities after = current.entities();
+        for (ConfigurationOperation operation : operations) {
+            after = after.apply(operation);
+        }
+        checkReferences(checks, after, operations);
+        checkCounts(checks, after);
+        return errors;
+    }
+
+    /**
+     * Checks a whole configuration.
+     *
+     * @param configuration configuration to check
+     * @return all errors, empty when the configuration is valid
+     */
+    public static List<ValidationError> validateAll(Configuration configuration) {
+        List<ValidationError> errors = new ArrayList<>();
+        EntityChecks checks = new EntityChecks(errors);
+        configuration.forEachService(checks::check);
+        configuration.forEachTenant(checks::check);
+        configuration.forEachRoute(
+                route -> {
+                    checks.check(route);
+                    checkRouteReferences(checks, configuration.entities(), route);
+                });
+        checkCounts(checks, configuration.entities());
+        return errors;
+    }
+
+    private static void checkFields(EntityChecks checks, ConfigurationOperation operation) {
+        switch (operation) {
+            case ConfigurationOperation.PutService(ServiceDefinition service) ->
+                    checks.check(service);
+            case ConfigurationOperation.PutRoute(RouteDefinition route) -> checks.check(route);
+            case ConfigurationOperation.PutTenant(TenantDefinition tenant) -> checks.check(tenant);
+            case ConfigurationOperation.DeleteService _,
+                    ConfigurationOperation.DeleteRoute _,
+                    ConfigurationOperation.DeleteTenant _ -> {}
+        }
+    }
+
+    /** Each entity may be named once, and what is deleted must exist. */
+    private static void checkTargets(
+            EntityChecks checks, Configuration current, List<ConfigurationOperation> operations) {
+        Set<String> seen = new HashSet<>();
+        for (ConfigurationOperation operation : operations) {
+            String entity = operation.entity();
+            if (!seen.add(entity)) {
+                checks.add(entity, "operations", "several operations", "one operation per entity");
+            }
+            if (isDeletionOfUnknown(current, operation)) {
+                checks.add(entity, "name", "unknown", "the name of an existing entity");
+            }
+        }
+    }
+
+    private static boolean isDeletionOfUnknown(
+            Configuration current, ConfigurationOperation operation) {
+        return switch (operation) {
+            case ConfigurationOperation.DeleteService(String name) ->
+                    current.service(name).isEmpty();
+            case ConfigurationOperation.DeleteRoute(String name) -> current.route(name).isEmpty();
+            case ConfigurationOperation.DeleteTenant(String name) -> current.tenant(name).isEmpty();
+            default -> false;
+        };
+    }
+
+    private static void checkReferences(
+            EntityChecks checks,
+            Configuration.Entities after,
+            List<ConfigurationOperation> operations) {
+        Set<String> deletedServices = new HashSet<>();
+        for (ConfigurationOperation operation : operations) {
+            if (operation instanceof ConfigurationOperation.PutRoute(RouteDefinition route)) {
+                checkRouteReferences(checks, after, route);
+            } else if (operation instanceof ConfigurationOperation.DeleteService(String name)) {
+                deletedServices.add(name);
+            }
+        }
+        if (!deletedServices.isEmpty()) {
+            checkDeletedServices(checks, after, operations, deletedServices);
+        }
+    }
+
+    private static void checkDeletedServices(
+            EntityChecks checks,
+            Configuration.Entities after,
+            List<ConfigurationOperation> operations,
+            Set<String> deletedServices) {
+        Set<String> alreadyChecked = new HashSet<>();
+        operations.forEach(operation -> alreadyChecked.add(operation.entity()));
+        for (RouteDefinition route : after.routes().values()) {
+            String entity = "route " + route.name();
+            if (deletedServices.contains(route.service()) && !alreadyChecked.contains(entity)) {
+                addUnknownService(checks, route);
+            }
+        }
+    }
+
+    private static void checkRouteReferences(
+            EntityChecks checks, Configuration.Entities after, RouteDefinition route) {
+        if (!after.services().containsKey(route.service())) {
+            addUnknownService(checks, route);
+        }
+        List<RouteDefinition> others = after.routeTable().routesAtLocationOf(route);
+        if (others.size() > ConfigurationLimits.ROUTES_PER_LOCATION) {
+            checks.add(
+                    "route " + route.name(),
+                    "path",
+                    others.size() + " routes with this host and path",
+                    "at most " + ConfigurationLimits.ROUTES_PER_LOCATION);
+        }
+        for (RouteDefinition other : others) {
+            if (!other.name().equals(route.name())) {
+                checkOverlap(checks, route, other);
+            }
+        }
+    }
+
+    private static void checkOverlap(
+            EntityChecks checks, RouteDefinition route, RouteDefinition other) {
+        switch (RouteOverlap.between(route, other)) {
+            case DUPLICATE ->
+                    checks.add(
+                            "route " + route.name(),
+                            "path",
+                            route.path(),
+                            "a match that differs from that of route " + other.name());
+            case AMBIGUOUS ->
+                    checks.add(
+                            "route " + route.name(),
+                            "headers",
+                            route.headers().toString(),
+                            "headers that exclude those of route "
+                                    + other.name()
+                                    + " or differ from them in number");
+            case NONE -> {}
+        }
+    }
+
+    private static void addUnknownService(EntityChecks checks, RouteDefinition route) {
+        checks.add(
+                "route " + route.name(),
+                "service",
+                route.service(),
+                "the name of an existing service");
+    }
+
+    private static void checkCounts(EntityChecks checks, Configuration.Entities after) {
+        String entity = "configuration";
+        checks.requireRange(
+                entity, "services", after.services().size(), 0, ConfigurationLimits.SERVICES);
+        checks.requireRange(entity, "routes", after.routes().size(), 0, ConfigurationLimits.ROUTES);
+        checks.requireRange(
+                entity, "tenants", after.tenants().count(), 0, ConfigurationLimits.TENANTS);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration documents, their validation, the change log in the store and snapshots. */
+package org.arbutuslock.internal.configuration;
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Maps the head of a request to a route. */
+package org.arbutuslock.internal.routing;
--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/configuration/ConfigurationChangeCodecTest.java
@@ -0,0 +1,62 @@
+package org.arbutuslock.internal.configuration;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.expectThrows;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import org.arbutuslock.internal.testing.Seeds;
+import org.testng.annotations.Test;
+
+/** Guards against changes that are read differently and against hostile lengths. */
+public class ConfigurationChangeCodecTest {
+    private static final ConfigurationChange CHANGE =
+            Samples.change(9, Samples.everyOperation().toArray(ConfigurationOperation[]::new));
+
+    @Test
+    public void should_decode_what_it_encodes() throws Exception {
+        byte[] bytes = ConfigurationChangeCodec.encode(CHANGE);
+        assertEquals(ConfigurationChangeCodec.decode(bytes), CHANGE);
+    }
+
+    @Test
+    public void should_reject_every_truncation() {
+        byte[] bytes = ConfigurationChangeCodec.encode(CHANGE);
+        for (int length = 0; length < bytes.length; length++) {
+            byte[] truncated = Arrays.copyOf(bytes, length);
+            assertThrows(
+                    MalformedConfigurationException.class,
+                    () -> ConfigurationChangeCodec.decode(truncated));
+        }
+    }
+
+    /** Any other exception would end the thread that applies changes. */
+    @Test
+    public void should_only_throw_its_own_exception_on_random_damage() {
+        Seeds.run(
+                2000,
+                seed -> {
+                    SplittableRandom random = new SplittableRandom(seed);
+                    byte[] bytes = ConfigurationChangeCodec.encode(CHANGE);
+                    for (int count = random.nextInt(1, 4); count > 0; count--) {
+                        bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+                    }
+                    try {
+                        ConfigurationChangeCodec.decode(bytes);
+                    } catch (MalformedConfigurationException expected) {
+                        assertEquals(expected.getMessage().startsWith("byte "), true);
+                    }
+                });
+    }
+
+    @Test
+    public void should_check_a_length_before_taking_memory() {
+        byte[] hugeArray = {(byte) 0xdd, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff};
+        MalformedConfigurationException error =
+                expectThrows(
+                        MalformedConfigurationException.class,
+                        () -> ConfigurationChangeCodec.decode(hugeArray));
+        assertEquals(error.getMessage(), "byte 5, field change: read 2147483647, allowed: 8 to 8");
+    }
+}
