--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/ejection/PledgeRequester.java
@@ -0,0 +1,152 @@
+package org.arbutuslock.internal.ejection;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.arbutuslock.api.EndpointId;
+
+/** Asks the other endpoints of the service for pledges, renews and releases them. */
+final class PledgeRequester {
+    /** Time between the return to service and the end of the last needed pledge. */
+    private static final long RETURN_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Time in which a replacement for a revoked pledge is sought. */
+    private static final long REVOKED_GRACE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** One lost pledge does not force a return when one more than the floor is held. */
+    private static final int SPARE_PLEDGES = 1;
+
+    private final EndpointId mSelf;
+    private final long mIncarnation;
+    private final EjectionSettings mSettings;
+    private final RandomGenerator mRandom;
+    private final ActionList mActions;
+    private final HeldPledges mHeld;
+
+    private Set<EndpointId> mOthers = Set.of();
+    private int mFloor = Integer.MAX_VALUE;
+    private long mNowNanos;
+    private long mRenewalNanos;
+
+    PledgeRequester(
+            EndpointId self,
+            long incarnation,
+            EjectionSettings settings,
+            RandomGenerator random,
+            ActionList actions) {
+        mSelf = self;
+        mIncarnation = incarnation;
+        mSettings = settings;
+        mRandom = random;
+        mActions = actions;
+        // A random first number keeps late replies to an earlier coordinator from matching.
+        long firstNumber = random.nextLong(Long.MAX_VALUE / 2);
+        mHeld = new HeldPledges(settings.countedDuration().toNanos(), firstNumber);
+    }
+
+    void advance(long nowNanos) {
+        mNowNanos = nowNanos;
+        mHeld.expire(nowNanos);
+    }
+
+    void updateService(Collection<EndpointId> others, int floor) {
+        mOthers = new TreeSet<>(others);
+        mOthers.remove(mSelf);
+        mFloor = floor;
+        mHeld.forgetAllExcept(mOthers);
+    }
+
+    boolean holdsEnough() {
+        return mHeld.countValidAt(mNowNanos + RETURN_MARGIN_NANOS) >= mFloor;
+    }
+
+    String describe() {
+        int valid = mHeld.countValidAt(mNowNanos + RETURN_MARGIN_NANOS);
+        return valid + " pledges of " + mOthers.size() + " others, floor " + mFloor;
+    }
+
+    void askAll() {
+        ask(mOthers);
+    }
+
+    void renewWhenDue() {
+        if (mNowNanos - mRenewalNanos < 0) {
+            return;
+        }
+        long renewalNanos = mSettings.renewalInterval().toNanos();
+        List<EndpointId> fresh = mHeld.pledgersSince(mNowNanos - 2 * renewalNanos);
+        if (fresh.size() < mFloor + SPARE_PLEDGES) {
+            askAll();
+        } else {
+            ask(keepNeeded(fresh));
+        }
+    }
+
+    /** Binds no more endpoints than needed, so that others can be ejected too. */
+    void releaseSurplus() {
+        keepNeeded(mHeld.pledgersSince(mNowNanos - mSettings.countedDuration().toNanos()));
+    }
+
+    void releaseAll() {
+        releaseAllExcept(List.of());
+    }
+
+    void takeReply(PledgeMessage.Reply reply) {
+        if (!isOwn(reply.requester(), reply.requesterIncarnation())) {
+            return;
+        }
+        if (reply.granted()) {
+            mHeld.grant(reply.pledger(), reply.pledgerIncarnation(), reply.number(), mNowNanos);
+        } else {
+            mHeld.refuse(reply.pledger(), reply.pledgerIncarnation());
+        }
+    }
+
+    void takeRevocation(PledgeMessage.Revoked revoked, boolean relied) {
+        if (!isOwn(revoked.requester(), revoked.requesterIncarnation())) {
+            return;
+        }
+        if (!relied) {
+            mHeld.forget(revoked.pledger());
+            return;
+        }
+        long lastNanos = mNowNanos + REVOKED_GRACE_NANOS;
+        mHeld.revoke(revoked.pledger(), lastNanos);
+        if (mHeld.countValidAt(lastNanos) < mFloor) {
+            askAll();
+        }
+    }
+
+    private boolean isOwn(EndpointId requester, long requesterIncarnation) {
+        return requester.equals(mSelf) && requesterIncarnation == mIncarnation;
+    }
+
+    private void ask(Collection<EndpointId> destinations) {
+        long number = mHeld.openRound(destinations, mNowNanos);
+        long durationMillis = mSettings.pledgeDuration().toMillis();
+        var request = new PledgeMessage.Request(mSelf, mIncarnation, number, durationMillis);
+        destinations.forEach(destination -> mActions.send(destination, request));
+        mRenewalNanos = mNowNanos + mSettings.renewalInterval().toNanos();
+    }
+
+    private List<EndpointId> keepNeeded(List<EndpointId> pledgers) {
+        if (pledgers.size() <= mFloor + SPARE_PLEDGES) {
+            return pledgers;
+        }
+        List<EndpointId> shuffled = new ArrayList<>(pledgers);
+        Collections.shuffle(shuffled, mRandom);
+        List<EndpointId> kept = shuffled.subList(0, mFloor + SPARE_PLEDGES);
+        releaseAllExcept(kept);
+        return kept;
+    }
+
+    private void releaseAllExcept(List<EndpointId> kept) {
+        var release = new PledgeMessage.Release(mSelf, mIncarnation, mHeld.lastNumber());
+        mHeld.releaseAllExcept(kept).forEach(released -> mActions.send(released, release));
+    }
+}
