Add callers' side and announcements (not wired yet)

Change: callers' connections, attempts with outcome queries, announcements. Not measured yet: nothing starts these classes so far.

--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -0,0 +1,377 @@
+package org.arbutuslock.daemon.internal.callers;
+
+import io.netty.channel.EventLoop;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.RequestId;
+import org.arbutuslock.api.RouteDefinition;
+import org.arbutuslock.daemon.internal.callers.EndpointChooser.AttemptResult;
+import org.arbutuslock.daemon.internal.callers.RequestObserver.RequestResult;
+import org.arbutuslock.daemon.internal.exchange.Exchange;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
+import org.arbutuslock.daemon.internal.exchange.OutcomeReport;
+import org.arbutuslock.daemon.internal.exchange.ResponseEvent;
+import org.arbutuslock.daemon.internal.exchange.Submission;
+import org.arbutuslock.internal.membership.FleetSnapshot;
+import org.arbutuslock.internal.messages.BufferedResponse;
+import org.arbutuslock.internal.messages.HeaderField;
+import org.arbutuslock.internal.messages.LoadReport;
+
+/**
+ * One request of a caller: attempts, retries and outcome queries until the caller has the whole
+ * response, a refusal marked not run, or an unknown outcome. Confined to the event loop of the
+ * caller's connection.
+ */
+final class CallerRequest {
+    private static final int HELD_BYTES = 64 * 1024;
+    private static final int SHED_STATUS = 503;
+    private static final int MAXIMUM_ATTEMPTS = 4;
+    private static final long QUERY_PAUSE_MILLIS = 20;
+    // The home node waits for the deadline too; its last word should arrive first.
+    private static final long DEADLINE_GRACE_NANOS = Duration.ofMillis(20).toNanos();
+
+    private final EntryServices mServices;
+    private final EventLoop mEventLoop;
+    private final CallerInput mInput;
+    private final CallerResponse mResponse;
+    private final long mStartNanos;
+    private final long mDeadlineNanos;
+    private final Set<EndpointId> mTried = new HashSet<>();
+    private Optional<Attempt> mAttempt = Optional.empty();
+    private Future<?> mDeadline;
+    private String mLastRefusal = "no endpoint of the service is known";
+    private int mAttempts;
+    private boolean mDone;
+    private boolean mStarted;
+
+    CallerRequest(
+            EntryServices services,
+            EventLoop eventLoop,
+            CallerInput input,
+            CallerResponse response) {
+        mServices = services;
+        mEventLoop = eventLoop;
+        mInput = input;
+        mResponse = response;
+        mStartNanos = services.clock().nanoTime();
+        mDeadlineNanos =
+                mStartNanos + TimeUnit.MILLISECONDS.toNanos(input.route().deadlineMillis());
+    }
+
+    /** Starts the first attempt. */
+    void start() {
+        mDeadline =
+                mEventLoop.schedule(
+                        this::deadlinePassed,
+                        mDeadlineNanos - mStartNanos + DEADLINE_GRACE_NANOS,
+                        TimeUnit.NANOSECONDS);
+        mServices.retries().firstAttempt(route().service());
+        startAttempt();
+    }
+
+    /** Withdraws the request because the caller has closed its connection. */
+    void cancel() {
+        if (!mDone) {
+            mAttempt.ifPresent(Attempt::cancel);
+            finish(RequestResult.CANCELLED);
+        }
+    }
+
+    private RouteDefinition route() {
+        return mInput.route();
+    }
+
+    private void startAttempt() {
+        Optional<FleetSnapshot.Member> chosen =
+                mServices.chooser().choose(route(), mInput.idempotent(), mTried);
+        if (chosen.isEmpty() || mAttempts == MAXIMUM_ATTEMPTS) {
+            refuse();
+            return;
+        }
+        Attempt attempt = new Attempt(chosen.get(), mInput.id().withAttempt(mAttempts));
+        mAttempts++;
+        mAttempt = Optional.of(attempt);
+        attempt.start();
+    }
+
+    private void retryOrElse(Runnable otherwise) {
+        boolean timeLeft = mServices.clock().nanoTime() < mDeadlineNanos;
+        if (!mStarted && timeLeft && mServices.retries().allowRetry(route().service())) {
+            startAttempt();
+        } else {
+            otherwise.run();
+        }
+    }
+
+    private void refuse() {
+        String text = "not run: " + mLastRefusal + "\n";
+        mResponse.sendWhole(
+                TextResponses.create(
+                        TextResponses.SERVICE_UNAVAILABLE,
+                        text,
+                        new HeaderField("arbutuslock-outcome", "not-run"),
+                        new HeaderField("retry-after", "1")));
+        finish(RequestResult.NOT_RUN);
+    }
+
+    private void reportUnknown(String detail) {
+        if (mStarted) {
+            mResponse.abort();
+            finish(RequestResult.ABORTED);
+            return;
+        }
+        String reference = mAttempt.map(Attempt::reference).orElse("");
+        String text = "outcome unknown: " + detail + "\n";
+        mResponse.sendWhole(
+                TextResponses.create(
+                        TextResponses.GATEWAY_TIMEOUT,
+                        text,
+                        new HeaderField("arbutuslock-outcome", "unknown"),
+                        new HeaderField("arbutuslock-request-id", reference)));
+        finish(RequestResult.UNKNOWN);
+    }
+
+    private void deadlinePassed() {
+        if (mDone) {
+            return;
+        }
+        mAttempt.ifPresent(Attempt::cancel);
+        if (mAttempt.isPresent() && mAttempt.get().submission().isEmpty()) {
+            mLastRefusal = "no session to the home node could be opened before the deadline";
+            refuse();
+        } else {
+            reportUnknown("the deadline of " + route().deadlineMillis() + " ms passed");
+        }
+    }
+
+    private void finish(RequestResult result) {
+        mDone = true;
+        mDeadline.cancel(false);
+        Duration latency = Duration.ofNanos(mServices.clock().nanoTime() - mStartNanos);
+        mServices.observer().finished(route(), mInput.tenant(), latency, result);
+    }
+
+    /** One submission to one endpoint. */
+    private final class Attempt {
+        private final FleetSnapshot.Member mMember;
+        private final RequestId mId;
+        private final long mAttemptStartNanos = mServices.clock().nanoTime();
+        private final ByteArrayOutputStream mHeld = new ByteArrayOutputStream();
+        private Exchange mExchange;
+        private Optional<Submission> mSubmission = Optional.empty();
+        private int mStatus;
+        private List<HeaderField> mHeaders = List.of();
+        private LoadReport mLoad = LoadReport.UNKNOWN;
+        private long mBytes;
+        private boolean mClosed;
+
+        private Attempt(FleetSnapshot.Member member, RequestId id) {
+            mMember = member;
+            mId = id;
+        }
+
+        private void start() {
+            mServices.chooser().started(mMember, route());
+            ExecutionRequest request = mInput.toRequest(mId, mMember, mDeadlineNanos);
+            mExchange =
+                    mServices.homeNodes().submit(mMember.node(), request, this::handleOnEventLoop);
+        }
+
+        private void handleOnEventLoop(ResponseEvent event) {
+            // Never inline, since an event may come before submit() has returned.
+            mEventLoop.execute(() -> handle(event));
+        }
+
+        private void handle(ResponseEvent event) {
+            if (mClosed) {
+                return;
+            }
+            switch (event) {
+                case ResponseEvent.Head(int status, List<HeaderField> headers, LoadReport load) -> {
+                    mStatus = status;
+                    mHeaders = headers;
+                    mLoad = load;
+                }
+                case ResponseEvent.Body(byte[] data, boolean last) -> handleBody(data, last);
+                case ResponseEvent.Refused refused -> {
+                    mLoad = refused.load();
+                    mLastRefusal = refused.reason() + ": " + refused.detail();
+                    end(AttemptResult.REFUSED);
+                    acknowledge();
+                    retryOrElse(CallerRequest.this::refuse);
+                }
+                case ResponseEvent.OutcomeUnknown(String detail, LoadReport load) -> {
+                    mLoad = load;
+                    end(AttemptResult.SERVER_FAILED);
+                    acknowledge();
+                    retryIfIdempotent(detail);
+                }
+                case ResponseEvent.SessionLost(Submission submission, String detail) -> {
+                    mSubmission = Optional.of(submission);
+                    end(AttemptResult.PATH_FAILED);
+                    if (mInput.idempotent()) {
+                        retryIfIdempotent(detail);
+                    } else {
+                        askForOutcome();
+                    }
+                }
+            }
+        }
+
+        private void handleBody(byte[] data, boolean last) {
+            mBytes += data.length;
+            if (mStarted) {
+                sendPart(data, last);
+            } else if (mHeld.size() + data.length <= HELD_BYTES) {
+                hold(data, last);
+            } else {
+                mStarted = true;
+                mResponse.start(mStatus, mHeaders);
+                sendPart(mHeld.toByteArray(), false);
+                sendPart(data, last);
+            }
+            if (last && !mDone && !mClosed) {
+                complete();
+            }
+        }
+
+        /** Holds a small response, so that nothing is sent before it is complete. */
+        private void hold(byte[] data, boolean last) {
+            mHeld.writeBytes(data);
+            if (last && shouldRetryShed()) {
+                end(AttemptResult.REFUSED);
+                acknowledge();
+                retryOrElse(this::sendHeld);
+            } else if (last) {
+                sendHeld();
+            } else {
+                mExchange.grantCredit(Math.max(1, data.length));
+            }
+        }
+
+        private boolean shouldRetryShed() {
+            return mStatus == SHED_STATUS && mInput.idempotent();
+        }
+
+        private void sendHeld() {
+            BufferedResponse response =
+                    new BufferedResponse(mStatus, mHeaders, mHeld.toByteArray());
+            mResponse.sendWhole(response);
+            if (mClosed) {
+                finish(RequestResult.ANSWERED);
+            }
+        }
+
+        private void sendPart(byte[] data, boolean last) {
+            int bytes = data.length;
+            mResponse.sendPart(data, last, () -> grant(bytes, last));
+        }
+
+        private void grant(int bytes, boolean last) {
+            if (!last && bytes > 0 && !mClosed) {
+                mExchange.grantCredit(bytes);
+            }
+        }
+
+        private void complete() {
+            end(AttemptResult.COMPLETE);
+            acknowledge();
+            finish(RequestResult.ANSWERED);
+        }
+
+        private void retryIfIdempotent(String detail) {
+            if (mInput.idempotent()) {
+                retryOrElse(() -> reportUnknown(detail));
+            } else {
+                reportUnknown(detail);
+            }
+        }
+
+        /** Asks the home node over a new session until it knows or the deadline has passed. */
+        private void askForOutcome() {
+            if (mDone) {
+                return;
+            }
+            mServices
+                    .homeNodes()
+                    .query(mId, mSubmission.get())
+                    .whenComplete(
+                            (report, error) ->
+                                    mEventLoop.execute(() -> handleReport(report, error)));
+        }
+
+        private void handleReport(OutcomeReport report, Throwable error) {
+            if (mDone) {
+                return;
+            }
+            if (error != null) {
+                askAgain();
+                return;
+            }
+            switch (report.state()) {
+                case NOT_RUN -> {
+                    mLastRefusal = "the session to the home node was lost";
+                    retryOrElse(CallerRequest.this::refuse);
+                }
+                case IN_PROGRESS -> askAgain();
+                case ANSWERED -> deliver(report.response().orElseThrow());
+                case ANSWERED_NOT_KEPT -> reportUnknown("executed, but the response was lost");
+                case FAILED -> reportUnknown("the backend server failed while it worked on it");
+                case UNKNOWN_INCARNATION, FORGOTTEN ->
+                        reportUnknown("the home node has no record of the request");
+            }
+        }
+
+        private void askAgain() {
+            mEventLoop.schedule(this::askForOutcome, QUERY_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        /** Delivers a kept response, or the part of it that the caller does not have yet. */
+        private void deliver(BufferedResponse response) {
+            acknowledge();
+            if (mStarted) {
+                reportUnknown("the session was lost while the response was sent");
+                return;
+            }
+            mResponse.sendWhole(response);
+            finish(RequestResult.ANSWERED);
+        }
+
+        private void acknowledge() {
+            mServices.homeNodes().acknowledge(mId, mMember.node());
+        }
+
+        private void end(AttemptResult result) {
+            mClosed = true;
+            mTried.add(mMember.endpoint().id());
+            Duration latency =
+                    Duration.ofNanos(mServices.clock().nanoTime() - mAttemptStartNanos);
+            mServices.chooser().finished(mMember, route(), latency, result, mLoad, mBytes);
+        }
+
+        private void cancel() {
+            if (!mClosed) {
+                end(AttemptResult.SERVER_FAILED);
+                mExchange.cancel();
+            }
+        }
+
+        /** Returns where the request was submitted; empty when nothing was or will be sent. */
+        private Optional<Submission> submission() {
+            return mSubmission.or(mExchange::submission);
+        }
+
+        private String reference() {
+            return submission()
+                    .map(submission -> new OutcomeReference(mId, submission).format())
+                    .orElse("");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -0,0 +1,129 @@
+package org.arbutuslock.daemon.internal.callers;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.arbutuslock.api.RequestId;
+import org.arbutuslock.internal.messages.PeerMessageCodec;
+
+/** Accepts HTTP/1.1 connections of callers. */
+public final class CallerServer {
+    private final Channel mListener;
+    private final ChannelGroup mConnections =
+            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicInteger mActiveRequests = new AtomicInteger();
+    private final AtomicLong mLastSequence = new AtomicLong();
+    private final EntryServices mServices;
+    private volatile boolean mDraining;
+
+    /**
+     * Starts to listen.
+     *
+     * @param eventLoops event loops of the connections
+     * @param address IP address and port
+     * @param limits bounds of one connection
+     * @param services what requests need
+     */
+    public CallerServer(
+            EventLoopGroup eventLoops,
+            InetSocketAddress address,
+            CallerLimits limits,
+            EntryServices services) {
+        mServices = services;
+        mListener =
+                new ServerBootstrap()
+                        .group(eventLoops)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_BACKLOG, 4_096)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        addHandlers(channel, limits);
+                                    }
+                                })
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    private void addHandlers(Channel channel, CallerLimits limits) {
+        mConnections.add(channel);
+        HttpDecoderConfig decoder =
+                new HttpDecoderConfig().setMaxHeaderSize(limits.maximumHeaderBytes());
+        channel.pipeline()
+                .addLast(
+                        new IdleStateHandler(0, 0, (int) limits.idleTimeout().toSeconds()),
+                        new HttpServerCodec(decoder),
+                        new HttpObjectAggregator(PeerMessageCodec.MAXIMUM_REQUEST_BODY_BYTES),
+                        new CallerConnection(this, mServices));
+    }
+
+    /**
+     * Returns the address at which this server listens.
+     *
+     * @return address with the actual port
+     */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) mListener.localAddress();
+    }
+
+    /**
+     * Counts the requests in progress.
+     *
+     * @return requests whose response is not complete
+     */
+    public int activeRequests() {
+        return mActiveRequests.get();
+    }
+
+    /** Asks callers to move: every response from now on closes its connection. */
+    public void startDraining() {
+        mDraining = true;
+    }
+
+    /** Accepts no further connections; open ones stay. */
+    public void closeListener() {
+        mListener.close().syncUninterruptibly();
+    }
+
+    /** Closes the listener and all connections. */
+    public void close() {
+        closeListener();
+        mConnections.close().awaitUninterruptibly();
+    }
+
+    boolean isDraining() {
+        return mDraining;
+    }
+
+    void requestStarted() {
+        mActiveRequests.incrementAndGet();
+    }
+
+    void requestFinished() {
+        mActiveRequests.decrementAndGet();
+    }
+
+    RequestId nextRequestId() {
+        return new RequestId(
+                mServices.localNode().name(),
+                mServices.localNode().incarnation(),
+                mLastSequence.incrementAndGet() * RequestId.ATTEMPTS);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/TextResponses.java
@@ -0,0 +1,24 @@
+package org.arbutuslock.daemon.internal.callers;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.arbutuslock.internal.messages.BufferedResponse;
+import org.arbutuslock.internal.messages.HeaderField;
+
+/** Creates the node's own responses to callers. */
+final class TextResponses {
+    static final int OK = 200;
+    static final int BAD_REQUEST = 400;
+    static final int NOT_FOUND = 404;
+    static final int SERVICE_UNAVAILABLE = 503;
+    static final int GATEWAY_TIMEOUT = 504;
+
+    private TextResponses() {}
+
+    static BufferedResponse create(int status, String text, HeaderField... fields) {
+        List<HeaderField> headers = new ArrayList<>(List.of(fields));
+        headers.add(new HeaderField("content-type", "text/plain; charset=utf-8"));
+        return new BufferedResponse(status, headers, text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -69,7 +69,7 @@
         for (HeaderField field : request.headers()) {
             message.headers().add(field.name(), field.value());
         }
-        message.headers().set(REQUEST_ID_HEADER, request.id().format());
+        message.headers().set(REQUEST_ID_HEADER, request.id().withAttempt(0).format());
         message.headers().set(DEADLINE_HEADER, remainingMillis);
         if (request.body().length > 0 || !HttpMethod.GET.name().equals(request.method())) {
             HttpUtil.setContentLength(message, request.body().length);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
 import org.agrona.collections.Object2ObjectHashMap;
 import org.arbutuslock.api.Clock;
@@ -41,6 +42,7 @@
     private final EndpointStates mStates;
     private final AtomicReference<Map<EndpointId, EndpointRuntime>> mEndpoints =
             new AtomicReference<>(Map.of());
+    private final ConcurrentHashMap<Long, Runnable> mSessions = new ConcurrentHashMap<>();
     private volatile boolean mDraining;
 
     /**
@@ -128,13 +130,28 @@
     }
 
     @Override
-    public long openSession() {
-        return mLedger.openSession();
+    public long openSession(Runnable onFenced) {
+        long session = mLedger.openSession();
+        mSessions.put(session, onFenced);
+        return session;
     }
 
     @Override
     public void closeSession(long session) {
         mLedger.fenceSession(session);
+        mSessions.remove(session);
+    }
+
+    /** Forgets old records. Call it every second. */
+    public void expireRecords() {
+        mLedger.expire().forEach(this::closeFenced);
+    }
+
+    private void closeFenced(long session) {
+        Runnable onFenced = mSessions.remove(session);
+        if (onFenced != null) {
+            onFenced.run();
+        }
     }
 
     @Override
@@ -192,7 +209,11 @@
 
     @Override
     public OutcomeReport query(RequestId id, long incarnation, long fencedSession) {
-        return switch (mLedger.query(id, incarnation, fencedSession)) {
+        QueryResult result = mLedger.query(id, incarnation, fencedSession);
+        if (!mLedger.isOpen(fencedSession)) {
+            closeFenced(fencedSession);
+        }
+        return switch (result) {
             case QueryResult.NotRun notRun -> report(OutcomeState.NOT_RUN);
             case QueryResult.InProgress inProgress -> report(OutcomeState.IN_PROGRESS);
             case QueryResult.Answered(Optional<?> response) ->
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
@@ -0,0 +1,236 @@
+package org.arbutuslock.daemon.internal.home;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.internal.ejection.EndpointState;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.membership.EndpointRecord;
+
+/**
+ * Endpoints of the backend servers that announce themselves at this node, with their states. Thread
+ * safe.
+ */
+public final class LocalEndpoints implements EndpointStates {
+    /** Time after which an announcement that is not renewed lapses. */
+    public static final Duration ANNOUNCEMENT_LEASE = Duration.ofSeconds(3);
+
+    private static final EventLogger LOGGER = EventLogger.forComponent("endpoints");
+    private static final int WHOLE_PERCENT = 100;
+
+    private final Clock mClock;
+    private final EventLoopGroup mEventLoops;
+    private final ObservationListener mObservations;
+    private final Map<EndpointId, Entry> mEntries = new ConcurrentHashMap<>();
+    private final List<ChangeListener> mListeners = new CopyOnWriteArrayList<>();
+    private HomeService mHome;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param clock time of announcements
+     * @param eventLoops event loops to which endpoints are confined
+     * @param observations gets the evidence of finished requests
+     */
+    public LocalEndpoints(
+            Clock clock, EventLoopGroup eventLoops, ObservationListener observations) {
+        mClock = clock;
+        mEventLoops = eventLoops;
+        mObservations = observations;
+    }
+
+    /**
+     * Sets where endpoints are added and removed. Call it before the first announcement.
+     *
+     * @param home home node's side of this process
+     */
+    public void connect(HomeService home) {
+        mHome = home;
+    }
+
+    /**
+     * Registers a listener for changes.
+     *
+     * @param listener called after each change, on the thread that made it
+     */
+    public void addListener(ChangeListener listener) {
+        mListeners.add(listener);
+    }
+
+    /**
+     * Adds an endpoint or renews its announcement.
+     *
+     * @param id the endpoint
+     * @param address address of its backend server
+     * @param slots requests that it works on at once
+     */
+    public synchronized void announce(EndpointId id, InetSocketAddress address, int slots) {
+        Entry known = mEntries.get(id);
+        boolean same =
+                known != null
+                        && known.mRuntime.address().equals(address)
+                        && known.mRuntime.slots() == slots
+                        && known.mState != EndpointState.LEFT;
+        if (same) {
+            known.mRenewedNanos = mClock.nanoTime();
+            return;
+        }
+        EndpointRuntime runtime =
+                new EndpointRuntime(
+                        id, address, slots, mEventLoops.next(), mClock, mObservations);
+        mEntries.put(id, new Entry(runtime, mClock.nanoTime()));
+        mHome.addEndpoint(runtime);
+        LOGGER.log(Event.ENDPOINT_ANNOUNCED, id, address, slots);
+        notifyListeners(new Change.Announced(id));
+    }
+
+    /**
+     * Starts the departure of a backend server: it gets no new work, and work in progress
+     * finishes.
+     *
+     * @param backendServer name of the backend server
+     * @return number of its endpoints
+     */
+    public synchronized int depart(String backendServer) {
+        List<EndpointId> departing =
+                mEntries.keySet().stream()
+                        .filter(id -> id.backendServer().equals(backendServer))
+                        .toList();
+        departing.forEach(id -> remove(id, "announced its departure"));
+        return departing.size();
+    }
+
+    /** Removes endpoints whose announcement has lapsed. Call it every 500 ms. */
+    public synchronized void expire() {
+        long now = mClock.nanoTime();
+        List<EndpointId> lapsed = new ArrayList<>();
+        mEntries.forEach(
+                (id, entry) -> {
+                    if (now - entry.mRenewedNanos > ANNOUNCEMENT_LEASE.toNanos()) {
+                        lapsed.add(id);
+                    }
+                });
+        lapsed.forEach(id -> remove(id, "did not renew its announcement"));
+    }
+
+    private void remove(EndpointId id, String reason) {
+        mEntries.remove(id);
+        mHome.removeEndpoint(id);
+        LOGGER.log(Event.ENDPOINT_LEFT, id, reason);
+        notifyListeners(new Change.Left(id));
+    }
+
+    /**
+     * Changes the state of an endpoint.
+     *
+     * @param id the endpoint
+     * @param state its new state
+     * @param weightPercent share of work relative to a healthy endpoint, 0 to 100
+     */
+    public void setState(EndpointId id, EndpointState state, int weightPercent) {
+        Entry entry = mEntries.get(id);
+        if (entry == null) {
+            return;
+        }
+        entry.mState = state;
+        entry.mWeightPercent = weightPercent;
+        notifyListeners(new Change.StateChanged(id));
+    }
+
+    /**
+     * Describes all endpoints.
+     *
+     * @return one record each
+     */
+    public List<EndpointRecord> records() {
+        return mEntries.values().stream()
+                .map(
+                        entry ->
+                                new EndpointRecord(
+                                        entry.mRuntime.id(),
+                                        entry.mRuntime.slots(),
+                                        entry.mState,
+                                        entry.mWeightPercent))
+                .toList();
+    }
+
+    /**
+     * Finds an endpoint.
+     *
+     * @param id the endpoint
+     * @return its runtime, or empty
+     */
+    public Optional<EndpointRuntime> find(EndpointId id) {
+        return Optional.ofNullable(mEntries.get(id)).map(entry -> entry.mRuntime);
+    }
+
+    @Override
+    public boolean takes(EndpointId endpoint, boolean idempotent) {
+        Entry entry = mEntries.get(endpoint);
+        if (entry == null) {
+            return false;
+        }
+        boolean trial = entry.mState == EndpointState.TRIAL && idempotent;
+        return entry.mState.takesWork() || trial;
+    }
+
+    private void notifyListeners(Change change) {
+        mListeners.forEach(listener -> listener.changed(change));
+    }
+
+    /** What changed. */
+    public sealed interface Change {
+        /**
+         * An endpoint is new or has a new address.
+         *
+         * @param id the endpoint
+         */
+        record Announced(EndpointId id) implements Change {}
+
+        /**
+         * An endpoint is gone.
+         *
+         * @param id the endpoint
+         */
+        record Left(EndpointId id) implements Change {}
+
+        /**
+         * An endpoint has another state or weight.
+         *
+         * @param id the endpoint
+         */
+        record StateChanged(EndpointId id) implements Change {}
+    }
+
+    /** Gets changes of the table. */
+    @FunctionalInterface
+    public interface ChangeListener {
+        /**
+         * Handles a change.
+         *
+         * @param change what changed
+         */
+        void changed(Change change);
+    }
+
+    private static final class Entry {
+        private final EndpointRuntime mRuntime;
+        private volatile long mRenewedNanos;
+        private volatile EndpointState mState = EndpointState.IN_SERVICE;
+        private volatile int mWeightPercent = WHOLE_PERCENT;
+
+        private Entry(EndpointRuntime runtime, long nowNanos) {
+            mRuntime = runtime;
+            mRenewedNanos = nowNanos;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** Small HTTP servers for announcements and metrics. */
+package org.arbutuslock.daemon.internal.http;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.arbutuslock.api.Clock;
@@ -171,7 +172,7 @@
                         listener.handle(new ResponseEvent.SessionLost(submission(), reason)));
     }
 
-    private Submission submission() {
+    Submission submission() {
         return new Submission(
                 mPeerAddress, mRemote.node(), mRemote.incarnation(), mRemote.session());
     }
@@ -240,6 +241,11 @@
             }
         }
 
+        @Override
+        public Optional<Submission> submission() {
+            return Optional.of(ClientSession.this.submission());
+        }
+
         @Override
         public void grantCredit(int bytes) {
             execute(
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/HomeNode.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/HomeNode.java
@@ -11,9 +11,10 @@
     /**
      * Opens a session in the execution ledger.
      *
+     * @param onFenced closes the connection of the session when it is fenced
      * @return number of the session
      */
-    long openSession();
+    long openSession(Runnable onFenced);
 
     /**
      * Fences a session: nothing that arrives on it is admitted from now on.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLinks.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLinks.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.daemon.internal.exchange.Exchange;
@@ -71,7 +72,7 @@
                                 String found = "found node " + session.remote().node();
                                 listener.handle(connectFailed(peerAddress, found));
                             } else {
-                                exchange.attach(session.submit(request, listener));
+                                exchange.attach(() -> session.submit(request, listener));
                             }
                         });
         return exchange;
@@ -146,15 +147,22 @@
         private boolean mCancelled;
         private int mCredit;
 
-        private synchronized void attach(Exchange exchange) {
-            mExchange = Optional.of(exchange);
+        private synchronized void attach(Supplier<Exchange> submit) {
             if (mCancelled) {
-                exchange.cancel();
-            } else if (mCredit > 0) {
+                return;
+            }
+            Exchange exchange = submit.get();
+            mExchange = Optional.of(exchange);
+            if (mCredit > 0) {
                 exchange.grantCredit(mCredit);
             }
         }
 
+        @Override
+        public synchronized Optional<Submission> submission() {
+            return mExchange.flatMap(Exchange::submission);
+        }
+
         @Override
         public synchronized void grantCredit(int bytes) {
             mExchange.ifPresentOrElse(
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -69,7 +69,7 @@
             return;
         }
         mPeer = hello.node();
-        mSession = mHomeNode.openSession();
+        mSession = mHomeNode.openSession(() -> close("the session is fenced"));
         PeerMessage reply =
                 new PeerMessage.HelloReply(
                         PROTOCOL_VERSION,
--- a/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionLedger.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionLedger.java
@@ -114,6 +114,16 @@
         }
     }
 
+    /**
+     * Tells whether a session admits requests.
+     *
+     * @param session number of the session
+     * @return false when it was fenced or never opened
+     */
+    public boolean isOpen(long session) {
+        return mOpenSessions.containsKey(session);
+    }
+
     private AdmitResult describeWithoutRecord(RequestId id) {
         ExecutionRecord existing = mRecords.get(id);
         if (existing != null) {
@@ -139,8 +149,9 @@
     }
 
     /**
-     * Says what happened to a request, after fencing the session on which it may still arrive. A
-     * queued request is refused, so that the result is final.
+     * Says what happened to a request. A queued request is refused, so that the result is final.
+     * When there is no record, the session on which the request may still arrive is fenced first.
+     * A session whose request is recorded stays open, since other requests may use it.
      *
      * @param id id of the request
      * @param incarnation incarnation of this node to which the request was sent
@@ -151,8 +162,11 @@
         if (incarnation != mIncarnation) {
             return new QueryResult.UnknownIncarnation();
         }
-        fenceSession(sessionToFence);
         ExecutionRecord record = mRecords.get(id);
+        if (record == null) {
+            fenceSession(sessionToFence);
+            record = mRecords.get(id);
+        }
         if (record == null) {
             return mForgotten.mayCover(id) ? new QueryResult.Forgotten() : new QueryResult.NotRun();
         }
