--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/selection/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the endpoint that gets a request. */
+package org.arbutuslock.internal.selection;
--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/selection/EndpointSelectorTest.java
@@ -0,0 +1,134 @@
+package org.arbutuslock.internal.selection;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.ManualClock;
+import org.arbutuslock.api.WorkClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against bad choices of an endpoint. */
+public class EndpointSelectorTest {
+    private static final long SEED = Long.getLong("arbutuslock.seed", 20_261_204L);
+    private static final long MILLI = 1_000_000L;
+    private static final LoadReport IDLE = new LoadReport(0, 5, 0, 0);
+    private static final LoadReport BUSY = new LoadReport(40, 5, 200 * MILLI, 900 * MILLI);
+
+    private ManualClock mClock;
+    private EndpointSelector mSelector;
+    private List<Candidate> mCandidates;
+
+    @BeforeMethod
+    public void createSelector() {
+        System.out.println("EndpointSelectorTest seed " + SEED);
+        mClock = new ManualClock();
+        RegionLinkBudget budget = new RegionLinkBudget(mClock, 1000, Duration.ofSeconds(1));
+        mSelector = new EndpointSelector(mClock, new SplittableRandom(SEED), budget);
+        mCandidates = new ArrayList<>();
+    }
+
+    private Candidate add(ZoneDistance distance, int weight, LoadReport report) {
+        PathStatistics path = new PathStatistics(mClock);
+        path.recordSubmit();
+        path.recordResponse(WorkClass.SHORT, 20 * MILLI, report);
+        String name = "server-" + mCandidates.size();
+        Candidate candidate =
+                new Candidate(
+                        new EndpointId("order-hub", name),
+                        name,
+                        distance,
+                        weight,
+                        CandidateState.IN_SERVICE,
+                        path);
+        mCandidates.add(candidate);
+        return candidate;
+    }
+
+    private SelectionResult select(WorkClass workClass, int floor, EndpointId... excluded) {
+        CandidateSet set = new CandidateSet(mCandidates, floor);
+        return mSelector.select(set, workClass, List.of(excluded), 600);
+    }
+
+    private int countChosen(Candidate wanted, int floor) {
+        int count = 0;
+        for (int round = 0; round < 1000; round++) {
+            boolean chosen =
+                    select(WorkClass.SHORT, floor).equals(new SelectionResult.Chosen(wanted));
+            count += chosen ? 1 : 0;
+        }
+        return count;
+    }
+
+    /**
+     * Guards against needless traffic between zones and against a congested zone that keeps all.
+     */
+    @Test
+    public void should_leave_zone_only_when_it_is_congested() {
+        Candidate near = add(ZoneDistance.SAME_ZONE, 100, IDLE);
+        Candidate regional = add(ZoneDistance.SAME_REGION, 100, IDLE);
+        assertEquals(countChosen(near, 1), 1000);
+        near.path().recordSubmit();
+        near.path().recordRefusal(BUSY);
+        assertEquals(countChosen(regional, 1), 1000);
+    }
+
+    /** Guards against volume on the charged link beyond its budget and against downloads on it. */
+    @Test
+    public void should_cross_regions_for_short_work_within_budget() {
+        Candidate near = add(ZoneDistance.SAME_ZONE, 100, BUSY);
+        Candidate remote = add(ZoneDistance.OTHER_REGION, 100, IDLE);
+        assertEquals(select(WorkClass.LONG, 1), new SelectionResult.Chosen(near));
+        assertEquals(select(WorkClass.SHORT, 1), new SelectionResult.Chosen(remote));
+        assertEquals(select(WorkClass.SHORT, 1), new SelectionResult.Chosen(near));
+        assertEquals(
+                select(WorkClass.SHORT, 1, near.endpoint()),
+                new SelectionResult.NoneAvailable(SelectionResult.Reason.REGION_LINK_BUDGET));
+        mClock.advance(Duration.ofSeconds(1));
+        assertEquals(
+                select(WorkClass.LONG, 1, near.endpoint()), new SelectionResult.Chosen(remote));
+    }
+
+    /** Guards against an entry node that avoids more paths than the floor leaves. */
+    @Test
+    public void should_reduce_bad_path_to_zero_only_above_floor() {
+        Candidate bad = add(ZoneDistance.SAME_ZONE, 100, IDLE);
+        add(ZoneDistance.SAME_ZONE, 100, IDLE);
+        for (int failure = 0; failure < 3; failure++) {
+            bad.path().recordSilence();
+        }
+        assertEquals(countChosen(bad, 1), 0);
+        int chosenAtFloor = countChosen(bad, 2);
+        assertTrue(chosenAtFloor > 0 && chosenAtFloor < 300, "chosen " + chosenAtFloor);
+    }
+
+    /** Guards against a cold endpoint that gets a full share although its weight is small. */
+    @Test
+    public void should_respect_weight_when_light_endpoint_is_faster() {
+        add(ZoneDistance.SAME_ZONE, 100, new LoadReport(1, 5, 10 * MILLI, 0));
+        Candidate light = add(ZoneDistance.SAME_ZONE, 10, IDLE);
+        int chosen = countChosen(light, 1);
+        assertTrue(chosen > 50 && chosen < 250, "chosen " + chosen);
+    }
+
+    /** Guards against a result without the reason. */
+    @Test
+    public void should_name_reason_when_none_is_available() {
+        assertEquals(
+                select(WorkClass.SHORT, 1),
+                new SelectionResult.NoneAvailable(SelectionResult.Reason.NO_ENDPOINTS));
+        add(ZoneDistance.SAME_ZONE, 0, IDLE);
+        assertEquals(
+                select(WorkClass.SHORT, 1),
+                new SelectionResult.NoneAvailable(SelectionResult.Reason.NONE_IN_SERVICE));
+        Candidate only = add(ZoneDistance.SAME_ZONE, 100, IDLE);
+        assertEquals(
+                select(WorkClass.SHORT, 1, only.endpoint()),
+                new SelectionResult.NoneAvailable(SelectionResult.Reason.ALL_EXCLUDED));
+    }
+}
