--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerInput.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerInput.java
@@ -31,7 +31,8 @@
         String tenant,
         int tenantWeight) {
     /** Creates the request of one attempt. */
-    ExecutionRequest toRequest(RequestId attemptId, FleetSnapshot.Member member, long deadlineNanos) {
+    ExecutionRequest toRequest(
+            RequestId attemptId, FleetSnapshot.Member member, long deadlineNanos) {
         return new ExecutionRequest(
                 attemptId,
                 member.endpoint().id(),
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -19,10 +19,11 @@
 import org.arbutuslock.daemon.internal.exchange.OutcomeReport;
 import org.arbutuslock.daemon.internal.exchange.ResponseEvent;
 import org.arbutuslock.daemon.internal.exchange.Submission;
+import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.membership.FleetSnapshot;
 import org.arbutuslock.internal.messages.BufferedResponse;
 import org.arbutuslock.internal.messages.HeaderField;
-import org.arbutuslock.internal.messages.LoadReport;
+import org.arbutuslock.internal.selection.LoadReport;
 
 /**
  * One request of a caller: attempts, retries and outcome queries until the caller has the whole
@@ -110,6 +111,27 @@
         }
     }
 
+    /** Tries another endpoint. Only retries after an overload take from the retry budget. */
+    private void retryRefused(RefusalReason reason) {
+        switch (reason) {
+            case QUEUE_FULL, DEADLINE, DISPLACED, LEDGER_FULL -> retryOrElse(this::refuse);
+            case DRAINING,
+                    NOT_IN_SERVICE,
+                    CANCELLED,
+                    QUERIED,
+                    SESSION_FENCED,
+                    FORGOTTEN,
+                    UNKNOWN_ENDPOINT,
+                    CONNECT_FAILED -> {
+                if (mServices.clock().nanoTime() < mDeadlineNanos) {
+                    startAttempt();
+                } else {
+                    refuse();
+                }
+            }
+        }
+    }
+
     private void refuse() {
         String text = "not run: " + mLastRefusal + "\n";
         mResponse.sendWhole(
@@ -205,7 +227,7 @@
                     mLastRefusal = refused.reason() + ": " + refused.detail();
                     end(AttemptResult.REFUSED);
                     acknowledge();
-                    retryOrElse(CallerRequest.this::refuse);
+                    retryRefused(refused.reason());
                 }
                 case ResponseEvent.OutcomeUnknown(String detail, LoadReport load) -> {
                     mLoad = load;
@@ -318,7 +340,7 @@
             switch (report.state()) {
                 case NOT_RUN -> {
                     mLastRefusal = "the session to the home node was lost";
-                    retryOrElse(CallerRequest.this::refuse);
+                    retryRefused(RefusalReason.CONNECT_FAILED);
                 }
                 case IN_PROGRESS -> askAgain();
                 case ANSWERED -> deliver(report.response().orElseThrow());
@@ -351,8 +373,7 @@
         private void end(AttemptResult result) {
             mClosed = true;
             mTried.add(mMember.endpoint().id());
-            Duration latency =
-                    Duration.ofNanos(mServices.clock().nanoTime() - mAttemptStartNanos);
+            Duration latency = Duration.ofNanos(mServices.clock().nanoTime() - mAttemptStartNanos);
             mServices.chooser().finished(mMember, route(), latency, result, mLoad, mBytes);
         }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -22,8 +22,7 @@
 /** Accepts HTTP/1.1 connections of callers. */
 public final class CallerServer {
     private final Channel mListener;
-    private final ChannelGroup mConnections =
-            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger mActiveRequests = new AtomicInteger();
     private final AtomicLong mLastSequence = new AtomicLong();
     private final EntryServices mServices;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EndpointChooser.java
@@ -6,7 +6,7 @@
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RouteDefinition;
 import org.arbutuslock.internal.membership.FleetSnapshot;
-import org.arbutuslock.internal.messages.LoadReport;
+import org.arbutuslock.internal.selection.LoadReport;
 
 /** Chooses the endpoint of an attempt and learns from its result. Any thread. */
 public interface EndpointChooser {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/OutcomeRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/OutcomeRequest.java
@@ -59,7 +59,8 @@
     private void answer(OutcomeReport report, Throwable error) {
         if (error != null) {
             mResponse.sendWhole(
-                    describe(TextResponses.SERVICE_UNAVAILABLE, "unknown", "home node not reached"));
+                    describe(
+                            TextResponses.SERVICE_UNAVAILABLE, "unknown", "home node not reached"));
             return;
         }
         switch (report.state()) {
@@ -81,8 +82,7 @@
         }
     }
 
-    private static BufferedResponse describe(
-            int status, String outcome, String text) {
+    private static BufferedResponse describe(int status, String outcome, String text) {
         return TextResponses.create(
                 status, text + "\n", new HeaderField("arbutuslock-outcome", outcome));
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/exchange/ResponseEvent.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/exchange/ResponseEvent.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.messages.HeaderField;
-import org.arbutuslock.internal.messages.LoadReport;
+import org.arbutuslock.internal.selection.LoadReport;
 
 /** What happens to a submitted request. */
 public sealed interface ResponseEvent {
@@ -31,8 +31,7 @@
      * @param detail explanation for operators
      * @param load load of the endpoint
      */
-    record Refused(RefusalReason reason, String detail, LoadReport load)
-            implements ResponseEvent {}
+    record Refused(RefusalReason reason, String detail, LoadReport load) implements ResponseEvent {}
 
     /**
      * The request was dispatched, but its response cannot be completed.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/exchange/ResponseListener.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/exchange/ResponseListener.java
@@ -4,9 +4,8 @@
 @FunctionalInterface
 public interface ResponseListener {
     /**
-     * Handles one event. After {@link ResponseEvent.Refused}, {@link
-     * ResponseEvent.OutcomeUnknown}, {@link ResponseEvent.SessionLost} or the last body part no
-     * further event follows.
+     * Handles one event. After {@link ResponseEvent.Refused}, {@link ResponseEvent.OutcomeUnknown},
+     * {@link ResponseEvent.SessionLost} or the last body part no further event follows.
      *
      * @param event the event
      */
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -14,15 +14,13 @@
 import org.arbutuslock.internal.admission.OfferResult;
 import org.arbutuslock.internal.admission.Rejection;
 import org.arbutuslock.internal.admission.Ticket;
-import org.arbutuslock.internal.messages.LoadReport;
+import org.arbutuslock.internal.selection.LoadReport;
 
 /**
  * One endpoint at its home node: admission and connections, confined to one event loop. Other
  * threads use {@link #execute} and the volatile load.
  */
 public final class EndpointRuntime {
-    private static final long NANOS_PER_MICRO = 1_000;
-
     private final EndpointId mId;
     private final InetSocketAddress mAddress;
     private final int mSlots;
@@ -31,6 +29,7 @@
     private final BackendConnectionPool mPool;
     private final ObservationListener mObservations;
     private volatile LoadReport mLoad = LoadReport.UNKNOWN;
+    private volatile int mUnfinished;
     private boolean mPolling;
 
     /**
@@ -95,6 +94,15 @@
         return mLoad;
     }
 
+    /**
+     * Counts the requests that wait or are worked on. Any thread.
+     *
+     * @return unfinished requests
+     */
+    public int unfinished() {
+        return mUnfinished;
+    }
+
     /** Offers a request to admission. Any thread. */
     void offer(HomeExchange exchange) {
         execute(() -> offerNow(exchange));
@@ -195,12 +203,12 @@
     }
 
     private void updateLoad() {
-        long waitNanos = mAdmission.expectedWaitNanos(WorkClass.SHORT);
+        mUnfinished = mAdmission.inFlight() + mAdmission.waiting();
         mLoad =
                 new LoadReport(
-                        mAdmission.inFlight(),
                         mAdmission.waiting(),
                         mAdmission.limit(),
-                        (int) Math.min(Integer.MAX_VALUE, waitNanos / NANOS_PER_MICRO));
+                        mAdmission.expectedWaitNanos(WorkClass.SHORT),
+                        mAdmission.expectedWaitNanos(WorkClass.LONG));
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
@@ -20,8 +20,8 @@
 import org.arbutuslock.internal.execution.QueryResult;
 import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.messages.BufferedResponse;
-import org.arbutuslock.internal.messages.LoadReport;
 import org.arbutuslock.internal.messages.OutcomeState;
+import org.arbutuslock.internal.selection.LoadReport;
 
 /**
  * Executes requests for the backend servers of this host. Sole authority on whether a request has
@@ -124,9 +124,7 @@
      * @return requests in progress
      */
     public int activeRequests() {
-        return mEndpoints.get().values().stream()
-                .mapToInt(endpoint -> endpoint.load().active() + endpoint.load().queued())
-                .sum();
+        return mEndpoints.get().values().stream().mapToInt(EndpointRuntime::unfinished).sum();
     }
 
     @Override
@@ -218,11 +216,13 @@
             case QueryResult.InProgress inProgress -> report(OutcomeState.IN_PROGRESS);
             case QueryResult.Answered(Optional<?> response) ->
                     response.map(BufferedResponse.class::cast)
-                            .map(kept -> new OutcomeReport(OutcomeState.ANSWERED, Optional.of(kept)))
+                            .map(
+                                    kept ->
+                                            new OutcomeReport(
+                                                    OutcomeState.ANSWERED, Optional.of(kept)))
                             .orElseGet(() -> report(OutcomeState.ANSWERED_NOT_KEPT));
             case QueryResult.Failed failed -> report(OutcomeState.FAILED);
-            case QueryResult.UnknownIncarnation unknown ->
-                    report(OutcomeState.UNKNOWN_INCARNATION);
+            case QueryResult.UnknownIncarnation unknown -> report(OutcomeState.UNKNOWN_INCARNATION);
             case QueryResult.Forgotten forgotten -> report(OutcomeState.FORGOTTEN);
         };
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
@@ -85,8 +85,7 @@
             return;
         }
         EndpointRuntime runtime =
-                new EndpointRuntime(
-                        id, address, slots, mEventLoops.next(), mClock, mObservations);
+                new EndpointRuntime(id, address, slots, mEventLoops.next(), mClock, mObservations);
         mEntries.put(id, new Entry(runtime, mClock.nanoTime()));
         mHome.addEndpoint(runtime);
         LOGGER.log(Event.ENDPOINT_ANNOUNCED, id, address, slots);
@@ -94,8 +93,7 @@
     }
 
     /**
-     * Starts the departure of a backend server: it gets no new work, and work in progress
-     * finishes.
+     * Starts the departure of a backend server: it gets no new work, and work in progress finishes.
      *
      * @param backendServer name of the backend server
      * @return number of its endpoints
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/BodyScheduler.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/BodyScheduler.java
@@ -9,8 +9,8 @@
 
 /**
  * Interleaves the body parts of many streams on one connection, one part per stream in turn, so
- * that a long body delays a short one by at most one part per stream. Confined to the event loop
- * of its channel.
+ * that a long body delays a short one by at most one part per stream. Confined to the event loop of
+ * its channel.
  */
 final class BodyScheduler {
     private final Channel mChannel;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ChannelMessages.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ChannelMessages.java
@@ -43,8 +43,7 @@
                     node,
                     message.payload(),
                     payload ->
-                            reply.send(
-                                    new PeerMessage.ChannelMessage(message.channel(), payload)));
+                            reply.send(new PeerMessage.ChannelMessage(message.channel(), payload)));
         }
     }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -168,8 +168,7 @@
         var listeners = new ArrayList<>(mStreams.values());
         mStreams.clear();
         listeners.forEach(
-                listener ->
-                        listener.handle(new ResponseEvent.SessionLost(submission(), reason)));
+                listener -> listener.handle(new ResponseEvent.SessionLost(submission(), reason)));
     }
 
     Submission submission() {
@@ -205,7 +204,9 @@
 
         private void start(ExecutionRequest request, ResponseListener listener) {
             if (!isOpen()) {
-                listener.handle(new ResponseEvent.SessionLost(submission(), "session closed"));
+                listener.handle(
+                        new ResponseEvent.SessionLost(
+                                ClientSession.this.submission(), "session closed"));
                 return;
             }
             mStream = ++mLastStream;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/LocalNode.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/LocalNode.java
@@ -10,4 +10,8 @@
  * @param peerAddress IP address and port at which other nodes reach this one
  */
 public record LocalNode(
-        String name, long incarnation, String region, String availabilityZone, String peerAddress) {}
+        String name,
+        long incarnation,
+        String region,
+        String availabilityZone,
+        String peerAddress) {}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
@@ -37,7 +37,11 @@
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.addLast(
                 new LengthFieldBasedFrameDecoder(
-                        PeerMessageCodec.MAXIMUM_MESSAGE_BYTES, 0, Integer.BYTES, 0, Integer.BYTES));
+                        PeerMessageCodec.MAXIMUM_MESSAGE_BYTES,
+                        0,
+                        Integer.BYTES,
+                        0,
+                        Integer.BYTES));
         pipeline.addLast(new PeerMessageDecoder());
         pipeline.addLast(new PeerMessageEncoder());
         pipeline.addLast(this);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLink.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLink.java
@@ -21,8 +21,7 @@
  * the current one is suspect, and waits between failed attempts.
  */
 final class PeerLink {
-    static final WriteBufferWaterMark WATER_MARK =
-            new WriteBufferWaterMark(32 * 1024, 64 * 1024);
+    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
 
     private static final EventLogger LOGGER = EventLogger.forComponent("sessions");
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
@@ -90,11 +89,7 @@
     private void open(CompletableFuture<ClientSession> opening) {
         ClientSession session =
                 new ClientSession(
-                        mLocalNode,
-                        mClock,
-                        mPeerAddress,
-                        mChannelMessages,
-                        () -> replace(opening));
+                        mLocalNode, mClock, mPeerAddress, mChannelMessages, () -> replace(opening));
         session.ready()
                 .orTimeout(HELLO_TIMEOUT_MILLIS + CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .whenComplete((ready, error) -> finishOpening(opening, session, error));
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLinks.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLinks.java
@@ -14,8 +14,8 @@
 import org.arbutuslock.daemon.internal.exchange.ResponseListener;
 import org.arbutuslock.daemon.internal.exchange.Submission;
 import org.arbutuslock.internal.execution.RefusalReason;
-import org.arbutuslock.internal.messages.LoadReport;
 import org.arbutuslock.internal.messages.PeerMessage;
+import org.arbutuslock.internal.selection.LoadReport;
 
 /**
  * Sends requests, queries and messages of plug-ins to other nodes.
@@ -79,8 +79,8 @@
     }
 
     /**
-     * Asks a home node for the outcome of a request, over a session other than the one on which
-     * it was submitted.
+     * Asks a home node for the outcome of a request, over a session other than the one on which it
+     * was submitted.
      *
      * @param id id of the request
      * @param submission where it was submitted
@@ -91,8 +91,7 @@
                 .session()
                 .thenCompose(
                         session ->
-                                session.query(
-                                        id, submission.incarnation(), submission.session()));
+                                session.query(id, submission.incarnation(), submission.session()));
     }
 
     /**
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
@@ -48,10 +48,7 @@
                                     protected void initChannel(Channel channel) {
                                         mSessions.add(channel);
                                         new ServerSession(
-                                                        localNode,
-                                                        clock,
-                                                        homeNode,
-                                                        channelMessages)
+                                                        localNode, clock, homeNode, channelMessages)
                                                 .install(channel);
                                     }
                                 })
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -268,8 +268,7 @@
     }
 
     /** Remembers the end of a response that finishes before its exchange is registered. */
-    private final class StreamListener
-            implements ResponseListener {
+    private final class StreamListener implements ResponseListener {
         private final long mStream;
         private volatile boolean mFinished;
 
--- a/kernel/src/main/java/org/arbutuslock/api/RequestId.java
+++ b/kernel/src/main/java/org/arbutuslock/api/RequestId.java
@@ -30,7 +30,9 @@
      */
     public RequestId withAttempt(int attempt) {
         return new RequestId(
-                entryNode, entryIncarnation, sequence - Math.floorMod(sequence, ATTEMPTS) + attempt);
+                entryNode,
+                entryIncarnation,
+                sequence - Math.floorMod(sequence, ATTEMPTS) + attempt);
     }
 
     /**
--- a/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionLedger.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionLedger.java
@@ -150,8 +150,8 @@
 
     /**
      * Says what happened to a request. A queued request is refused, so that the result is final.
-     * When there is no record, the session on which the request may still arrive is fenced first.
-     * A session whose request is recorded stays open, since other requests may use it.
+     * When there is no record, the session on which the request may still arrive is fenced first. A
+     * session whose request is recorded stays open, since other requests may use it.
      *
      * @param id id of the request
      * @param incarnation incarnation of this node to which the request was sent
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -17,7 +17,35 @@
     /** The process ends. */
     NODE_STOPPED(1004, Level.INFO, "node {0} stopped"),
     /** The node cannot start. */
-    START_FAILED(1005, Level.ERROR, "start failed: {0}");
+    START_FAILED(1005, Level.ERROR, "start failed: {0}"),
+    /** A small HTTP server closed a connection after an error. */
+    SMALL_HTTP_FAILED(1006, Level.WARNING, "{0} server: connection from {1} failed: {2}"),
+    /** Graceful shutdown has ended with requests still in progress. */
+    DRAIN_LIMIT_REACHED(1007, Level.WARNING, "drain limit of {0} s reached with {1} requests"),
+    /** A caller sent a malformed request. */
+    CALLER_REQUEST_MALFORMED(2001, Level.INFO, "malformed request from {0}: {1}"),
+    /** A caller's connection failed. */
+    CALLER_CONNECTION_FAILED(2002, Level.DEBUG, "connection of caller {0} failed: {1}"),
+    /** This node opened a session. */
+    SESSION_OPENED(3001, Level.INFO, "session to node {0} incarnation {1} opened as {2}"),
+    /** This node accepted a session. */
+    SESSION_ACCEPTED(3002, Level.INFO, "session of node {0} incarnation {1} accepted as {2}"),
+    /** A session has ended. */
+    SESSION_CLOSED(3003, Level.INFO, "session with {0} closed: {1}"),
+    /** A session failed, for example after a malformed frame. */
+    SESSION_ERROR(3004, Level.WARNING, "session with {0} failed: {1}"),
+    /** No session could be opened. */
+    SESSION_CONNECT_FAILED(3005, Level.WARNING, "no session to {0}: {1}"),
+    /** A frame with an old stream number was dropped. */
+    DUPLICATE_FRAME(3006, Level.WARNING, "node {0} sent stream {1} after stream {2}; dropped"),
+    /** A backend server announced itself. */
+    ENDPOINT_ANNOUNCED(4001, Level.INFO, "endpoint {0} announced at {1} with {2} slots"),
+    /** A backend server left or its announcement lapsed. */
+    ENDPOINT_LEFT(4002, Level.INFO, "endpoint {0} {1}"),
+    /** A node was added to the fleet. */
+    NODE_JOINED(6001, Level.INFO, "node {0} incarnation {1} joined at {2}"),
+    /** A node was removed from the fleet. */
+    NODE_LEFT(6002, Level.INFO, "node {0} incarnation {1} {2}");
 
     private final int mNumber;
     private final Level mLevel;
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
@@ -6,6 +6,7 @@
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.selection.LoadReport;
 
 /** One message between two nodes. Streams number the requests of one session. */
 public sealed interface PeerMessage {
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
@@ -7,6 +7,7 @@
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.selection.LoadReport;
 
 /**
  * Encodes and decodes the messages between nodes. A message is one MessagePack array that starts
@@ -327,19 +328,19 @@
 
     private static void writeLoad(MessageWriter writer, LoadReport load) {
         writer.writeArrayHeader(4)
-                .writeLong(load.active())
-                .writeLong(load.queued())
+                .writeLong(load.queueLength())
                 .writeLong(load.limit())
-                .writeLong(load.expectedWaitMicros());
+                .writeLong(load.shortWaitNanos())
+                .writeLong(load.longWaitNanos());
     }
 
     private static LoadReport readLoad(MessageReader reader) throws MessageFormatException {
         readTuple(reader, "load", 4);
         return new LoadReport(
-                reader.readInt("active", 0, Integer.MAX_VALUE),
-                reader.readInt("queued", 0, Integer.MAX_VALUE),
-                reader.readInt("limit", 0, Integer.MAX_VALUE),
-                reader.readInt("expectedWaitMicros", 0, Integer.MAX_VALUE));
+                reader.readInt("queueLength", 0, Integer.MAX_VALUE),
+                reader.readInt("limit", 1, Integer.MAX_VALUE),
+                reader.readLong("shortWaitNanos", 0, Long.MAX_VALUE),
+                reader.readLong("longWaitNanos", 0, Long.MAX_VALUE));
     }
 
     private static void readTuple(MessageReader reader, String field, int expected)
--- a/kernel/src/main/java/org/arbutuslock/internal/selection/LoadReport.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/selection/LoadReport.java
@@ -8,4 +8,7 @@
  * @param shortWaitNanos expected wait of short work
  * @param longWaitNanos expected wait of long work
  */
-public record LoadReport(int queueLength, int limit, long shortWaitNanos, long longWaitNanos) {}
+public record LoadReport(int queueLength, int limit, long shortWaitNanos, long longWaitNanos) {
+    /** Report of an endpoint whose load is not known. */
+    public static final LoadReport UNKNOWN = new LoadReport(0, 1, 0, 0);
+}
--- a/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageCodecTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageCodecTest.java
@@ -9,6 +9,7 @@
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.selection.LoadReport;
 import org.testng.Reporter;
 import org.testng.annotations.Test;
 
@@ -22,7 +23,10 @@
         assertEquals(PeerMessageCodec.decode(PeerMessageCodec.encode(submit)), submit);
         PeerMessage.Refusal refusal =
                 new PeerMessage.Refusal(
-                        3, RefusalReason.QUEUE_FULL, "queue full", new LoadReport(5, 20, 5, 900));
+                        3,
+                        RefusalReason.QUEUE_FULL,
+                        "queue full",
+                        new LoadReport(20, 5, 900, 1_200));
         assertEquals(PeerMessageCodec.decode(PeerMessageCodec.encode(refusal)), refusal);
     }
 
