--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/store/CallBudget.java
@@ -0,0 +1,32 @@
+package org.arbutuslock.daemon.internal.store;
+
+import org.arbutuslock.api.Clock;
+
+/** Limits calls per second with a token bucket that holds the calls of one second. */
+final class CallBudget {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final Clock mClock;
+    private final int mCallsPerSecond;
+    private double mTokens;
+    private long mRefilledAtNanos;
+
+    CallBudget(Clock clock, int callsPerSecond) {
+        mClock = clock;
+        mCallsPerSecond = callsPerSecond;
+        mTokens = callsPerSecond;
+        mRefilledAtNanos = clock.nanoTime();
+    }
+
+    synchronized boolean tryTake() {
+        long now = mClock.nanoTime();
+        double gained = (now - mRefilledAtNanos) * mCallsPerSecond / NANOS_PER_SECOND;
+        mTokens = Math.min(mCallsPerSecond, mTokens + gained);
+        mRefilledAtNanos = now;
+        if (mTokens < 1) {
+            return false;
+        }
+        mTokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/store/StoreClientPolicyTest.java
@@ -0,0 +1,50 @@
+package org.arbutuslock.daemon.internal.store;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.arbutuslock.api.ManualClock;
+import org.testng.annotations.Test;
+
+/** Guards against a node that calls or reconnects to the store more often than allowed. */
+public class StoreClientPolicyTest {
+    private static final long SEED = Long.getLong("arbutuslock.seed", 7);
+
+    private final ManualClock mClock = new ManualClock();
+
+    @Test
+    public void should_refuse_calls_beyond_the_budget() {
+        CallBudget budget = new CallBudget(mClock, 10);
+        assertEquals(IntStream.range(0, 50).filter(call -> budget.tryTake()).count(), 10);
+        mClock.advance(Duration.ofMillis(250));
+        assertEquals(IntStream.range(0, 50).filter(call -> budget.tryTake()).count(), 2);
+        mClock.advance(Duration.ofHours(1));
+        assertEquals(IntStream.range(0, 50).filter(call -> budget.tryTake()).count(), 10);
+    }
+
+    @Test
+    public void should_wait_longer_after_each_failure_with_jitter() {
+        System.out.println("StoreClientPolicyTest arbutuslock.seed=" + SEED);
+        ReconnectBackoff backoff =
+                new ReconnectBackoff(
+                        mClock,
+                        new SplittableRandom(SEED),
+                        Duration.ofMillis(100),
+                        Duration.ofMillis(800));
+        for (long wait : new long[] {100, 200, 400, 800, 800}) {
+            backoff.recordFailure();
+            mClock.advance(Duration.ofMillis(wait / 2 - 1));
+            assertFalse(backoff.mayConnect(), "before half of " + wait + " ms");
+            mClock.advance(Duration.ofMillis(wait / 2 + 1));
+            assertTrue(backoff.mayConnect(), "after " + wait + " ms");
+        }
+        backoff.recordSuccess();
+        backoff.recordFailure();
+        mClock.advance(Duration.ofMillis(100));
+        assertTrue(backoff.mayConnect(), "a success resets the wait");
+    }
+}
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -17,7 +17,11 @@
     /** The process ends. */
     NODE_STOPPED(1004, Level.INFO, "node {0} stopped"),
     /** The node cannot start. */
-    START_FAILED(1005, Level.ERROR, "start failed: {0}");
+    START_FAILED(1005, Level.ERROR, "start failed: {0}"),
+    /** The connection to the store failed; logged once until it works again. */
+    STORE_DISCONNECTED(7901, Level.WARNING, "store {0} is not reachable: {1}"),
+    /** The store responds again. */
+    STORE_CONNECTED(7902, Level.INFO, "store {0} responds again");
 
     private final int mNumber;
     private final Level mLevel;
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/store/StandInStore.java
@@ -0,0 +1,314 @@
+package org.arbutuslock.testbed.store;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.api.store.StoreEntry;
+
+/**
+ * Holds keys, leases and recent changes in memory. Thread-safe.
+ *
+ * <pre>{@code
+ * StandInStore store = new StandInStore(Clock.system());
+ * store.compareAndSwap("a", StoreEntry.ABSENT_VERSION, value, PlatformStore.NO_LEASE);
+ * }</pre>
+ */
+public final class StandInStore {
+    private static final long MAXIMUM_PAGE_BYTES = 4L << 20;
+
+    private final Clock mClock;
+    private final TreeMap<String, StoreEntry> mEntries = new TreeMap<>();
+    private final Map<String, Long> mLeaseOfKey = new HashMap<>();
+    private final Map<Long, Lease> mLeases = new HashMap<>();
+    private final ChangeHistory mHistory = new ChangeHistory();
+    private final List<Copy> mBackups = new ArrayList<>();
+    private final List<Runnable> mChangeListeners = new CopyOnWriteArrayList<>();
+    private long mStoreRevision;
+    private long mLastLease;
+    private int mRestoreCount;
+
+    /**
+     * Creates an empty store.
+     *
+     * @param clock time of the leases
+     */
+    public StandInStore(Clock clock) {
+        mClock = clock;
+    }
+
+    /**
+     * Outcome of a conditional write.
+     *
+     * @param applied false on a conflict
+     * @param version version after the write, or the version found
+     * @param storeRevision revision of the store
+     */
+    public record Write(boolean applied, long version, long storeRevision) {}
+
+    /**
+     * One page of a list.
+     *
+     * @param entries entries in the order of their keys
+     * @param more true when entries follow
+     * @param storeRevision revision of the store
+     */
+    public record Page(List<StoreEntry> entries, boolean more, long storeRevision) {}
+
+    private record Copy(
+            TreeMap<String, StoreEntry> entries,
+            Map<String, Long> leaseOfKey,
+            Map<Long, Lease> leases,
+            long storeRevision) {}
+
+    private record Lease(long durationNanos, long expiresAtNanos) {}
+
+    /**
+     * Reads one key.
+     *
+     * @param key full key
+     * @return its entry, or empty
+     */
+    public synchronized Optional<StoreEntry> read(String key) {
+        expireLeases();
+        return Optional.ofNullable(mEntries.get(key));
+    }
+
+    /**
+     * Lists entries in the order of their keys.
+     *
+     * @param prefix start of all listed keys
+     * @param startAfter key after which the page starts, or empty
+     * @param limit most entries to return
+     * @return a page of at most 4 MiB of values
+     */
+    public synchronized Page list(String prefix, String startAfter, int limit) {
+        expireLeases();
+        List<StoreEntry> page = new ArrayList<>();
+        long bytes = 0;
+        String from = startAfter.compareTo(prefix) > 0 ? startAfter : prefix;
+        for (StoreEntry entry : mEntries.tailMap(from, !from.equals(startAfter)).values()) {
+            if (!entry.key().startsWith(prefix)) {
+                break;
+            }
+            bytes += entry.value().length;
+            if (page.size() == limit || bytes > MAXIMUM_PAGE_BYTES) {
+                return new Page(page, true, mStoreRevision);
+            }
+            page.add(entry);
+        }
+        return new Page(page, false, mStoreRevision);
+    }
+
+    /**
+     * Writes a key if its version is the expected one.
+     *
+     * @param key full key
+     * @param expectedVersion version to replace, or 0 to create
+     * @param value new value, which the caller must not change afterwards
+     * @param lease lease of the entry, or {@link PlatformStore#NO_LEASE}
+     * @return applied or conflict
+     * @throws IllegalStateException when the lease has expired or never existed
+     */
+    public synchronized Write compareAndSwap(
+            String key, long expectedVersion, byte[] value, long lease) {
+        expireLeases();
+        if (lease != PlatformStore.NO_LEASE && !mLeases.containsKey(lease)) {
+            throw new IllegalStateException(
+                    "lease " + lease + " has expired or never existed; grant a new lease");
+        }
+        long version = versionOf(key);
+        if (version != expectedVersion) {
+            return new Write(false, version, mStoreRevision);
+        }
+        mStoreRevision++;
+        StoreEntry entry = new StoreEntry(key, version + 1, mStoreRevision, value);
+        mEntries.put(key, entry);
+        mLeaseOfKey.remove(key);
+        if (lease != PlatformStore.NO_LEASE) {
+            mLeaseOfKey.put(key, lease);
+        }
+        publish(new StoreChange.Written(entry));
+        return new Write(true, version + 1, mStoreRevision);
+    }
+
+    /**
+     * Deletes a key if its version is the expected one.
+     *
+     * @param key full key
+     * @param expectedVersion version to delete
+     * @return applied or conflict
+     */
+    public synchronized Write delete(String key, long expectedVersion) {
+        expireLeases();
+        long version = versionOf(key);
+        if (version != expectedVersion || version == StoreEntry.ABSENT_VERSION) {
+            return new Write(false, version, mStoreRevision);
+        }
+        remove(key);
+        return new Write(true, StoreEntry.ABSENT_VERSION, mStoreRevision);
+    }
+
+    /**
+     * Creates a lease.
+     *
+     * @param duration time to live
+     * @return number of the lease, never used before
+     */
+    public synchronized long grantLease(Duration duration) {
+        expireLeases();
+        mLastLease++;
+        mLeases.put(mLastLease, newLease(duration.toNanos()));
+        return mLastLease;
+    }
+
+    /**
+     * Renews a lease for its whole duration.
+     *
+     * @param lease number of the lease
+     * @return its duration, or empty when it has expired or never existed
+     */
+    public synchronized Optional<Duration> renewLease(long lease) {
+        expireLeases();
+        Lease current = mLeases.get(lease);
+        if (current == null) {
+            return Optional.empty();
+        }
+        mLeases.put(lease, newLease(current.durationNanos()));
+        return Optional.of(Duration.ofNanos(current.durationNanos()));
+    }
+
+    /** Deletes the entries of all leases that have expired. */
+    public synchronized void expireLeases() {
+        long now = mClock.nanoTime();
+        Set<Long> expired = new TreeSet<>();
+        mLeases.forEach(
+                (number, lease) -> {
+                    if (now - lease.expiresAtNanos() >= 0) {
+                        expired.add(number);
+                    }
+                });
+        if (expired.isEmpty()) {
+            return;
+        }
+        mLeases.keySet().removeAll(expired);
+        List<String> keys =
+                mLeaseOfKey.entrySet().stream()
+                        .filter(pair -> expired.contains(pair.getValue()))
+                        .map(Map.Entry::getKey)
+                        .sorted()
+                        .toList();
+        keys.forEach(this::remove);
+    }
+
+    /**
+     * Returns recent changes.
+     *
+     * @param storeRevision revision after which changes are wanted
+     * @param limit most changes to return
+     * @return changes in order, or empty when the store no longer holds all of them
+     */
+    public synchronized Optional<List<StoreChange>> changesAfter(long storeRevision, int limit) {
+        return mHistory.changesAfter(storeRevision, limit);
+    }
+
+    /**
+     * Returns the revision of the whole store.
+     *
+     * @return number of changes, lower after a restore
+     */
+    public synchronized long storeRevision() {
+        return mStoreRevision;
+    }
+
+    /**
+     * Counts restores, so that a watch notices one.
+     *
+     * @return number of restores so far
+     */
+    public synchronized int restoreCount() {
+        return mRestoreCount;
+    }
+
+    /**
+     * Keeps a copy of all entries.
+     *
+     * @return number of the backup
+     */
+    public synchronized int takeBackup() {
+        mBackups.add(
+                new Copy(
+                        new TreeMap<>(mEntries),
+                        Map.copyOf(mLeaseOfKey),
+                        Map.copyOf(mLeases),
+                        mStoreRevision));
+        return mBackups.size();
+    }
+
+    /**
+     * Replaces all entries and the store revision by those of a backup. Leases of restored entries
+     * start again with their whole duration; lease numbers are not reused.
+     *
+     * @param number number of the backup
+     * @return the store revision after the restore
+     */
+    public synchronized long restoreBackup(int number) {
+        if (number < 1 || number > mBackups.size()) {
+            throw new IllegalArgumentException(
+                    "backup " + number + " does not exist; allowed are 1 to " + mBackups.size());
+        }
+        Copy copy = mBackups.get(number - 1);
+        mEntries.clear();
+        mEntries.putAll(copy.entries());
+        mLeaseOfKey.clear();
+        mLeaseOfKey.putAll(copy.leaseOfKey());
+        copy.leases().forEach((lease, old) -> mLeases.put(lease, newLease(old.durationNanos())));
+        mStoreRevision = copy.storeRevision();
+        mHistory.discardAfter(mStoreRevision);
+        mRestoreCount++;
+        mChangeListeners.forEach(Runnable::run);
+        return mStoreRevision;
+    }
+
+    /**
+     * Runs an action after every change, under the store's lock.
+     *
+     * @param listener must return quickly
+     */
+    void addChangeListener(Runnable listener) {
+        mChangeListeners.add(listener);
+    }
+
+    void removeChangeListener(Runnable listener) {
+        mChangeListeners.remove(listener);
+    }
+
+    private Lease newLease(long durationNanos) {
+        return new Lease(durationNanos, mClock.nanoTime() + durationNanos);
+    }
+
+    private long versionOf(String key) {
+        StoreEntry entry = mEntries.get(key);
+        return entry == null ? StoreEntry.ABSENT_VERSION : entry.version();
+    }
+
+    private void remove(String key) {
+        mEntries.remove(key);
+        mLeaseOfKey.remove(key);
+        mStoreRevision++;
+        publish(new StoreChange.Deleted(key, mStoreRevision));
+    }
+
+    private void publish(StoreChange change) {
+        mHistory.add(change);
+        mChangeListeners.forEach(Runnable::run);
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/store/StoreMain.java
@@ -0,0 +1,74 @@
+package org.arbutuslock.testbed.store;
+
+import java.io.IOException;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.arbutuslock.api.Clock;
+
+/** Runs the stand-in store as a process until it is terminated. */
+public final class StoreMain {
+    private static final int EXIT_USAGE = 2;
+    private static final int MAXIMUM_PORT = 65_535;
+
+    private StoreMain() {}
+
+    /**
+     * Starts the store and prints both addresses.
+     *
+     * @param arguments options; {@code --help} lists them
+     * @throws InterruptedException when the process is interrupted
+     */
+    public static void main(String[] arguments) throws InterruptedException {
+        ArgumentParser parser = createParser();
+        try {
+            run(parser.parseArgs(arguments));
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(EXIT_USAGE);
+        } catch (IOException e) {
+            System.err.println("arbutuslock-store: a port cannot be bound: " + e.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+    }
+
+    private static ArgumentParser createParser() {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("arbutuslock-store")
+                        .build()
+                        .description("Stand-in for the platform's key-value store, on loopback.");
+        for (String option : new String[] {"--port", "--control-port"}) {
+            parser.addArgument(option)
+                    .type(Integer.class)
+                    .choices(net.sourceforge.argparse4j.impl.Arguments.range(0, MAXIMUM_PORT))
+                    .setDefault(0)
+                    .help("TCP port; 0 takes a free one");
+        }
+        parser.addArgument("--seed")
+                .type(Long.class)
+                .setDefault(1L)
+                .help("seed of the faults that occur by share");
+        return parser;
+    }
+
+    private static void run(Namespace options) throws IOException, InterruptedException {
+        StoreServer server =
+                StoreServer.start(
+                        options.getInt("port"),
+                        options.getInt("control_port"),
+                        Clock.system(),
+                        options.getLong("seed"));
+        Runtime.getRuntime().addShutdownHook(new Thread(server::close));
+        System.out.println(
+                "store "
+                        + server.address().getAddress().getHostAddress()
+                        + ":"
+                        + server.address().getPort()
+                        + " control "
+                        + server.controlAddress().getAddress().getHostAddress()
+                        + ":"
+                        + server.controlAddress().getPort());
+        Thread.currentThread().join();
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/store/StoreServer.java
@@ -0,0 +1,184 @@
+package org.arbutuslock.testbed.store;
+
+import io.grpc.BindableService;
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.platform.v1.CallCounts;
+import org.arbutuslock.platform.v1.StoreFaults;
+
+/**
+ * Runs the stand-in store on loopback: one port for the store, one for its control.
+ *
+ * <pre>{@code
+ * try (StoreServer server = StoreServer.start(0, 0, Clock.system(), seed)) {
+ *     server.setFaults(StoreFaults.newBuilder().setDelayMillis(50).build());
+ *     connectTo(server.address());
+ * }
+ * }</pre>
+ */
+public final class StoreServer implements AutoCloseable {
+    private static final int MAXIMUM_REQUEST_BYTES = PlatformStore.MAXIMUM_VALUE_BYTES + (64 << 10);
+    private static final int THREADS = 2;
+    private static final long LEASE_CHECK_MILLIS = 100;
+    private static final long PROGRESS_MILLIS = 1000;
+    private static final int BIND_ATTEMPTS = 50;
+    private static final long BIND_RETRY_MILLIS = 100;
+
+    private final ScheduledExecutorService mExecutor = Executors.newScheduledThreadPool(THREADS);
+    private final StandInStore mStore;
+    private final KeyValueStoreService mService;
+    private final Server mControl;
+    private Server mServer;
+    private final int mPort;
+
+    private StoreServer(int port, int controlPort, Clock clock, long seed) throws IOException {
+        mStore = new StandInStore(clock);
+        mService = new KeyValueStoreService(mStore, mExecutor, new SplittableRandom(seed));
+        mServer = bind(port, mService);
+        mPort = mServer.getPort();
+        mControl = bind(controlPort, new StoreControlService(this));
+        mExecutor.scheduleAtFixedRate(
+                mStore::expireLeases,
+                LEASE_CHECK_MILLIS,
+                LEASE_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
+        mExecutor.scheduleAtFixedRate(
+                mService::sendProgress, PROGRESS_MILLIS, PROGRESS_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Starts a store.
+     *
+     * @param port port of the store, or 0 for a free one
+     * @param controlPort port of the control, or 0 for a free one
+     * @param clock time of the leases
+     * @param seed seed of the faults that occur by share
+     * @return the running server
+     * @throws IOException when a port cannot be bound
+     */
+    public static StoreServer start(int port, int controlPort, Clock clock, long seed)
+            throws IOException {
+        return new StoreServer(port, controlPort, clock, seed);
+    }
+
+    /**
+     * Returns where the store listens, also while it is down.
+     *
+     * @return loopback address and port
+     */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), mPort);
+    }
+
+    /**
+     * Returns where the control listens.
+     *
+     * @return loopback address and port
+     */
+    public InetSocketAddress controlAddress() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), mControl.getPort());
+    }
+
+    /**
+     * Returns the state of the store, for assertions and for changes that bypass the network.
+     *
+     * @return the store
+     */
+    public StandInStore store() {
+        return mStore;
+    }
+
+    /**
+     * Returns how many calls arrived.
+     *
+     * @return counts since the start
+     */
+    public CallCounts callCounts() {
+        return mService.counter().read();
+    }
+
+    /**
+     * Replaces all faults. Returns after the listening socket has been closed or opened.
+     *
+     * @param faults wanted faults; the default instance switches all off
+     */
+    public synchronized void setFaults(StoreFaults faults) {
+        checkShare("lost_response_share", faults.getLostResponseShare());
+        checkShare("late_write_share", faults.getLateWriteShare());
+        checkShare(
+                "lost_response_share + late_write_share",
+                faults.getLostResponseShare() + faults.getLateWriteShare());
+        mService.setFaults(faults);
+        if (faults.getDown()) {
+            stop(mServer);
+        } else if (mServer.isShutdown()) {
+            mServer = bindAgain();
+        }
+    }
+
+    @Override
+    public synchronized void close() {
+        stop(mServer);
+        stop(mControl);
+        mExecutor.shutdownNow();
+    }
+
+    private Server bindAgain() {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                return bind(mPort, mService);
+            } catch (IOException e) {
+                // An outgoing connection may occupy the port while the store is down.
+                if (attempt == BIND_ATTEMPTS) {
+                    throw new UncheckedIOException("port " + mPort + " is still in use", e);
+                }
+                pause();
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(BIND_RETRY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting for the port", e);
+        }
+    }
+
+    private static Server bind(int port, BindableService service) throws IOException {
+        return NettyServerBuilder.forAddress(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .addService(service)
+                .directExecutor()
+                .maxInboundMessageSize(MAXIMUM_REQUEST_BYTES)
+                .build()
+                .start();
+    }
+
+    private static void stop(Server server) {
+        server.shutdownNow();
+        try {
+            server.awaitTermination(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void checkShare(String field, double share) {
+        if (!(share >= 0 && share <= 1)) {
+            throw new IllegalArgumentException(
+                    field + " is " + share + "; allowed are values from 0 to 1");
+        }
+    }
+}
