--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -45,7 +45,11 @@
     /** A node was added to the fleet. */
     NODE_JOINED(6001, Level.INFO, "node {0} incarnation {1} joined at {2}"),
     /** A node was removed from the fleet. */
-    NODE_LEFT(6002, Level.INFO, "node {0} incarnation {1} {2}");
+    NODE_LEFT(6002, Level.INFO, "node {0} incarnation {1} {2}"),
+    /** The connection to the store failed; logged once until it works again. */
+    STORE_DISCONNECTED(7901, Level.WARNING, "store {0} is not reachable: {1}"),
+    /** The store responds again. */
+    STORE_CONNECTED(7902, Level.INFO, "store {0} responds again");
 
     private final int mNumber;
     private final Level mLevel;
