Add the configuration change log over the platform's store

A write to the store can take effect although its response is lost, and can take effect later. A submission therefore validates the change, checks with one list call that the store still has the base revision, creates the next key, and resolves a lost response by reading the key back and retrying the same create until the deadline. Only a response that no pending create can contradict is definite; otherwise the submitter gets Unknown with the id.

Reading starts with the revision in force, so that a store restored from an older backup or with another history is refused with an event. Followers list again when a revision is missing, when the watch ends, and every 10 s, which also detects a stalled watch. Keys of changes are never deleted: a delayed create of a deleted key would look accepted.

A change costs one list call and one write.

--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationLog.java
@@ -0,0 +1,190 @@
+package org.arbutuslock.internal.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.Failure;
+import org.arbutuslock.api.store.PlatformStore;
+
+/**
+ * The chain of configuration changes in the platform's store. A change is accepted when the create
+ * of the key of the next revision took effect.
+ *
+ * <pre>{@code
+ * ConfigurationLog log = new ConfigurationLog(store, holder, clock, timer, random);
+ * AutoCloseable follower = log.follow();
+ * log.submit(changeId, "ada", holder.current().revision(), operations, deadlineNanos)
+ *         .thenAccept(result -> ...);
+ * }</pre>
+ */
+public final class ConfigurationLog {
+    private static final Duration FIRST_RETRY = Duration.ofMillis(50);
+    private static final Duration LONGEST_SUBMIT_RETRY = Duration.ofSeconds(1);
+
+    /** A node that cannot read the log is served by its peers meanwhile. */
+    private static final Duration LONGEST_FOLLOW_RETRY = Duration.ofSeconds(10);
+
+    private final PlatformStore mStore;
+    private final ConfigurationHolder mHolder;
+    private final Clock mClock;
+    private final RetryTimer mTimer;
+    private final RandomGenerator mRandom;
+    private final SnapshotStore mSnapshots;
+    private final ChangeReader mReader;
+
+    /**
+     * Creates a log.
+     *
+     * @param store platform's store
+     * @param holder gets what is read and accepted
+     * @param clock time for deadlines and for the time shown with a change
+     * @param timer runs retries
+     * @param random jitter of retries; used from several threads
+     */
+    public ConfigurationLog(
+            PlatformStore store,
+            ConfigurationHolder holder,
+            Clock clock,
+            RetryTimer timer,
+            RandomGenerator random) {
+        mStore = store;
+        mHolder = holder;
+        mClock = clock;
+        mTimer = timer;
+        mRandom = random;
+        mSnapshots = new SnapshotStore(store);
+        mReader = new ChangeReader(store, holder, mSnapshots);
+    }
+
+    /**
+     * Submits a change. Submitting the same change again with the same id and base revision is safe
+     * and has the effect of one submission.
+     *
+     * @param changeId id that the submitter chose
+     * @param author operator who makes the change
+     * @param baseRevision revision that the operator saw
+     * @param operations steps of the change
+     * @param deadlineNanos reading of the clock at which the response is due
+     * @return the response
+     */
+    public CompletableFuture<SubmitResult> submit(
+            UUID changeId,
+            String author,
+            long baseRevision,
+            List<ConfigurationOperation> operations,
+            long deadlineNanos) {
+        if (baseRevision < 0 || baseRevision == Long.MAX_VALUE) {
+            return CompletableFuture.completedFuture(invalidBase(baseRevision));
+        }
+        ConfigurationChange change =
+                new ConfigurationChange(
+                        baseRevision + 1,
+                        changeId,
+                        author,
+                        mClock.wallTimeMillis(),
+                        baseRevision,
+                        operations);
+        long timeoutNanos = Math.max(0, deadlineNanos - mClock.nanoTime());
+        return new ChangeSubmission(
+                        mStore,
+                        mHolder,
+                        mReader,
+                        mTimer,
+                        new RetryDelays(FIRST_RETRY, LONGEST_SUBMIT_RETRY, mRandom),
+                        change)
+                .start(Duration.ofNanos(timeoutNanos));
+    }
+
+    private SubmitResult invalidBase(long baseRevision) {
+        return new SubmitResult.Invalid(
+                List.of(
+                        new ValidationError(
+                                "change",
+                                "baseRevision",
+                                Long.toString(baseRevision),
+                                "0 to " + mHolder.current().revision())));
+    }
+
+    /**
+     * Finds out what became of a change.
+     *
+     * @param changeId id of the change
+     * @return its revision if it is among the recent changes
+     */
+    public CompletableFuture<LookupResult> lookup(UUID changeId) {
+        OptionalLong known = mHolder.current().revisionOf(changeId);
+        if (known.isPresent()) {
+            return CompletableFuture.completedFuture(new LookupResult.Accepted(known.getAsLong()));
+        }
+        return mReader.catchUp().thenApply(result -> lookUpAfter(result, changeId));
+    }
+
+    private LookupResult lookUpAfter(CatchUpResult result, UUID changeId) {
+        Configuration current = mHolder.current();
+        OptionalLong found = current.revisionOf(changeId);
+        if (found.isPresent()) {
+            return new LookupResult.Accepted(found.getAsLong());
+        }
+        return switch (result) {
+            case CatchUpResult.Current _ ->
+                    new LookupResult.NotFound(
+                            current.recentChanges().firstRevision(), current.revision());
+            case CatchUpResult.StoreUnavailable unavailable ->
+                    new LookupResult.StoreUnavailable(unavailable.failure());
+            case CatchUpResult.StoreBehind _, CatchUpResult.Refused _ ->
+                    new LookupResult.StoreUnavailable(
+                            new Failure("look up change", "platform store", result.toString()));
+        };
+    }
+
+    /**
+     * Reads the newest snapshot, if nothing is in force yet, and all following changes.
+     *
+     * @return whether everything in the store is in force now
+     */
+    public CompletableFuture<CatchUpResult> catchUp() {
+        return mReader.catchUp();
+    }
+
+    /**
+     * Keeps the holder up to date until closed: reads the log, watches it, and reads it again when
+     * a revision is missing, when the watch ends and every 10 seconds.
+     *
+     * @return stops following
+     */
+    public AutoCloseable follow() {
+        ChangeFollower follower =
+                new ChangeFollower(
+                        mStore,
+                        mReader,
+                        mTimer,
+                        new RetryDelays(FIRST_RETRY, LONGEST_FOLLOW_RETRY, mRandom));
+        follower.start();
+        return follower;
+    }
+
+    /**
+     * Writes a snapshot of the configuration in force if enough changes follow the newest one.
+     * Several nodes can do so at once.
+     *
+     * @param minimumChanges smallest number of changes since the newest snapshot
+     * @return what was written
+     */
+    public CompletableFuture<SnapshotResult> compact(long minimumChanges) {
+        return mReader.catchUp()
+                .thenCompose(
+                        result ->
+                                result instanceof CatchUpResult.Current
+                                        ? mSnapshots.save(mHolder.current(), minimumChanges)
+                                        : CompletableFuture.completedFuture(
+                                                new SnapshotResult.Failed(
+                                                        new Failure(
+                                                                "write snapshot",
+                                                                "platform store",
+                                                                result.toString()))));
+    }
+}
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/TenantTable.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/TenantTable.java
@@ -88,6 +88,40 @@
         return shard == null ? EMPTY_SHARD : shard;
     }
 
+    /** Builds a table from many tenants without copying the directory for each one. */
+    static final class Builder {
+        private final byte[][][] mDirectory = new byte[FANOUT][][];
+        private int mCount;
+
+        void add(TenantDefinition tenant) {
+            byte[] key = encode(tenant.name());
+            int index = shardIndex(tenant.name());
+            byte[][] row = mDirectory[index >>> FANOUT_BITS];
+            if (row == null) {
+                row = new byte[FANOUT][];
+                mDirectory[index >>> FANOUT_BITS] = row;
+            }
+            int column = index & INDEX_MASK;
+            byte[] shard = row[column] == null ? EMPTY_SHARD : row[column];
+            int offset = TenantShard.find(shard, key);
+            if (offset >= 0) {
+                row[column] = TenantShard.replaceWeight(shard, offset, tenant.weight());
+            } else {
+                row[column] = TenantShard.insert(shard, ~offset, key, tenant.weight());
+                mCount++;
+            }
+        }
+
+        int count() {
+            return mCount;
+        }
+
+        /** Returns the table; the builder must not be used afterwards. */
+        TenantTable build() {
+            return new TenantTable(mDirectory, mCount);
+        }
+    }
+
     private static byte[] encode(String name) {
         return name.getBytes(StandardCharsets.UTF_8);
     }
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -17,7 +17,22 @@
     /** The process ends. */
     NODE_STOPPED(1004, Level.INFO, "node {0} stopped"),
     /** The node cannot start. */
-    START_FAILED(1005, Level.ERROR, "start failed: {0}");
+    START_FAILED(1005, Level.ERROR, "start failed: {0}"),
+    /** The store lacks the revision in force, as after restoring an older backup. */
+    STORE_BEHIND(
+            7001,
+            Level.ERROR,
+            "configuration {0} stays in force: the store lacks {1}; restore a newer backup"),
+    /** A change or snapshot in the store cannot be parsed. */
+    CHANGE_UNPARSABLE(7002, Level.ERROR, "{0} cannot be parsed: {1}; revision in force: {2}"),
+    /** A change in the store contradicts one that is in force. */
+    CHANGE_OF_OTHER_HISTORY(7003, Level.ERROR, "{0} was refused: {1}"),
+    /** The watch of the change log has ended and will be opened again. */
+    CONFIGURATION_WATCH_ENDED(7004, Level.INFO, "watch of the change log ended: {0}"),
+    /** A change was deleted from the log, which the project never does. */
+    CHANGE_DELETED(7005, Level.ERROR, "{0} was deleted from the change log"),
+    /** A snapshot was written to the store. */
+    SNAPSHOT_WRITTEN(7006, Level.INFO, "snapshot of revision {0} written in {1} parts");
 
     private final int mNumber;
     private final Level mLevel;
