Add command-line tool for operators

Operators had a schema but no way to use it. The command arbutuslock creates, shows, lists, changes and deletes services, routes and tenants, applies files after showing the difference, and shows history, status, decisions and request rates.

A change carries one change id and base revision through all attempts. A refusal that follows a lost response is settled with GetChange first, since the lost attempt may have been accepted; when nothing settles it the tool exits with 5 (outcome unknown). The subcommand outcome asks for a change later.

Files for apply delete only what they name, so that a partial file cannot empty the configuration.

The tests run the tool against an in-process gRPC server.

--- /dev/null
+++ b/cli/src/main/java/org/arbutuslock/cli/internal/ChangeSubmitter.java
@@ -0,0 +1,127 @@
+package org.arbutuslock.cli.internal;
+
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+import org.arbutuslock.v1.ChangeAccepted;
+import org.arbutuslock.v1.ChangeOutcome;
+import org.arbutuslock.v1.ChangeUnknown;
+import org.arbutuslock.v1.GetChangeRequest;
+import org.arbutuslock.v1.GetChangeResponse;
+import org.arbutuslock.v1.OperatorsGrpc.OperatorsBlockingStub;
+
+/**
+ * Sends one change until its outcome is definite or the deadline passes. Every attempt carries the
+ * same change id and base revision, so that the change is accepted at most once.
+ */
+final class ChangeSubmitter {
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(200);
+    private static final Duration MAXIMUM_PAUSE = Duration.ofSeconds(2);
+
+    private final OperatorsClient mClient;
+    private final Output mOutput;
+    private final String mChangeId;
+    private String mLostReason = "";
+
+    ChangeSubmitter(OperatorsClient client, Output output, String changeId) {
+        mClient = client;
+        mOutput = output;
+        mChangeId = changeId;
+    }
+
+    ChangeOutcome submit(Function<OperatorsBlockingStub, ChangeOutcome> call)
+            throws CommandException {
+        Duration pause = FIRST_PAUSE;
+        while (!mClient.deadline().hasPassed()) {
+            Optional<ChangeOutcome> definite = attempt(call);
+            if (definite.isPresent()) {
+                return definite.get();
+            }
+            mOutput.printMessage(
+                    "no definite response (" + mLostReason + "); trying the same change id again");
+            mClient.deadline().pause(pause);
+            pause = pause.multipliedBy(2);
+            pause = pause.compareTo(MAXIMUM_PAUSE) > 0 ? MAXIMUM_PAUSE : pause;
+        }
+        return ChangeOutcome.newBuilder()
+                .setUnknown(
+                        ChangeUnknown.newBuilder().setChangeId(mChangeId).setReason(mLostReason))
+                .build();
+    }
+
+    private Optional<ChangeOutcome> attempt(Function<OperatorsBlockingStub, ChangeOutcome> call)
+            throws CommandException {
+        try {
+            ChangeOutcome outcome = call.apply(mClient.attempt());
+            return switch (outcome.getOutcomeCase()) {
+                case ACCEPTED -> Optional.of(outcome);
+                // A conflict names the other change that follows the base revision, so that the
+                // own change can't follow it.
+                case CONFLICT -> Optional.of(findAcceptance().orElse(outcome));
+                case INVALID, STORE_UNAVAILABLE -> settle(outcome);
+                case UNKNOWN -> lost(outcome.getUnknown().getReason());
+                case OUTCOME_NOT_SET -> lost("the node sent an outcome of a later release");
+            };
+        } catch (StatusRuntimeException failed) {
+            if (!isRefusal(failed.getStatus().getCode())) {
+                return lost(failed.getStatus().toString());
+            }
+            // The refusal says nothing about an earlier attempt whose response was lost.
+            if (mLostReason.isEmpty()) {
+                throw mClient.describe("change " + mChangeId, failed.getStatus());
+            }
+            return lost(failed.getStatus().toString());
+        }
+    }
+
+    /** A refusal of this attempt is definite only if no earlier attempt can have been accepted. */
+    private Optional<ChangeOutcome> settle(ChangeOutcome refusal) {
+        if (mLostReason.isEmpty()) {
+            return Optional.of(refusal);
+        }
+        GetChangeResponse response = ask();
+        if (response.hasAccepted()) {
+            return Optional.of(accepted(response));
+        }
+        return response.getAbsent().getDefinite() ? Optional.of(refusal) : Optional.empty();
+    }
+
+    private Optional<ChangeOutcome> findAcceptance() {
+        if (mLostReason.isEmpty()) {
+            return Optional.empty();
+        }
+        GetChangeResponse response = ask();
+        return response.hasAccepted() ? Optional.of(accepted(response)) : Optional.empty();
+    }
+
+    private GetChangeResponse ask() {
+        try {
+            return mClient.attempt()
+                    .getChange(GetChangeRequest.newBuilder().setChangeId(mChangeId).build());
+        } catch (StatusRuntimeException failed) {
+            return GetChangeResponse.getDefaultInstance();
+        }
+    }
+
+    private static ChangeOutcome accepted(GetChangeResponse response) {
+        return ChangeOutcome.newBuilder()
+                .setAccepted(
+                        ChangeAccepted.newBuilder()
+                                .setRevision(response.getAccepted().getRevision()))
+                .build();
+    }
+
+    private Optional<ChangeOutcome> lost(String reason) {
+        mLostReason = reason;
+        return Optional.empty();
+    }
+
+    private static boolean isRefusal(Status.Code code) {
+        return switch (code) {
+            case INVALID_ARGUMENT, PERMISSION_DENIED, UNAUTHENTICATED, UNIMPLEMENTED -> true;
+            default -> false;
+        };
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/arbutuslock/cli/internal/CommandException.java
@@ -0,0 +1,15 @@
+package org.arbutuslock.cli.internal;
+
+/** Ends a command with an exit code and a message for the operator. */
+final class CommandException extends Exception {
+    private final ExitCode mExitCode;
+
+    CommandException(ExitCode exitCode, String message) {
+        super(message);
+        mExitCode = exitCode;
+    }
+
+    ExitCode exitCode() {
+        return mExitCode;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/arbutuslock/cli/internal/CommandLine.java
@@ -0,0 +1,82 @@
+package org.arbutuslock.cli.internal;
+
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** The grammar of the command line: subcommands and their options. */
+final class CommandLine {
+    private static final String COMMAND = "selected command";
+
+    private final ArgumentParser mParser;
+    private final Map<String, Subparser> mLeaves = new TreeMap<>();
+
+    CommandLine(List<Command> commands) {
+        mParser =
+                ArgumentParsers.newFor("arbutuslock")
+                        .build()
+                        .defaultHelp(false)
+                        .description("Changes and inspects a fleet of arbutuslock nodes.")
+                        .epilog(describeExitCodes());
+        CommonOptions.addTo(mParser);
+        addCommands(commands);
+    }
+
+    Namespace parse(String[] arguments) throws ArgumentParserException {
+        return mParser.parseArgs(arguments);
+    }
+
+    /** Returns the command that {@link #parse(String[])} has found. */
+    static Command selected(Namespace arguments) {
+        return arguments.get(COMMAND);
+    }
+
+    /** Maps each subcommand ("service list") to its parser. */
+    Map<String, Subparser> leaves() {
+        return mLeaves;
+    }
+
+    private void addCommands(List<Command> commands) {
+        Subparsers topLevel = mParser.addSubparsers().title("subcommands").metavar("COMMAND");
+        Map<String, Subparsers> groups = new LinkedHashMap<>();
+        for (Command command : commands) {
+            String[] words = command.path().split(" ");
+            Subparsers parent = topLevel;
+            if (words.length > 1) {
+                parent = groups.computeIfAbsent(words[0], word -> addGroup(topLevel, word));
+            }
+            Subparser leaf =
+                    parent.addParser(words[words.length - 1])
+                            .help(command.help())
+                            .description(command.help())
+                            .epilog(describeExitCodes());
+            command.addArguments(leaf);
+            CommonOptions.addTo(leaf);
+            leaf.setDefault(COMMAND, command);
+            mLeaves.put(command.path(), leaf);
+        }
+    }
+
+    private static Subparsers addGroup(Subparsers topLevel, String word) {
+        return topLevel.addParser(word)
+                .help("create, show, list, change or delete a " + word)
+                .addSubparsers()
+                .title("actions")
+                .metavar("ACTION");
+    }
+
+    private static String describeExitCodes() {
+        return Arrays.stream(ExitCode.values())
+                .map(code -> code.code() + " " + code.meaning())
+                .collect(Collectors.joining("; ", "exit codes: ", "."));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/arbutuslock/cli/internal/EntityOptions.java
@@ -0,0 +1,42 @@
+package org.arbutuslock.cli.internal;
+
+import java.util.Locale;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.arbutuslock.v1.WorkClass;
+
+/** Helpers for options that set fields of entities. */
+final class EntityOptions {
+    private EntityOptions() {}
+
+    static void addNumber(ArgumentParser parser, String option, boolean required, String help) {
+        // The node checks the allowed range of each field, so that one rule holds for all clients.
+        parser.addArgument(option)
+                .metavar("NUMBER")
+                .type(Integer.class)
+                .choices(Arguments.range(0, Integer.MAX_VALUE))
+                .required(required)
+                .help(help);
+    }
+
+    static void ifNumber(Namespace arguments, String name, IntConsumer setter) {
+        Integer value = arguments.getInt(name);
+        if (value != null) {
+            setter.accept(value);
+        }
+    }
+
+    static void ifText(Namespace arguments, String name, Consumer<String> setter) {
+        String value = arguments.getString(name);
+        if (value != null) {
+            setter.accept(value);
+        }
+    }
+
+    static String word(WorkClass workClass) {
+        return workClass.name().replace("WORK_CLASS_", "").toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/arbutuslock/cli/internal/FileCommand.java
@@ -0,0 +1,107 @@
+package org.arbutuslock.cli.internal;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Set;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.arbutuslock.v1.EntityName;
+import org.arbutuslock.v1.Operation;
+
+/** Shows what a file would change and, for {@code apply}, makes the change. */
+final class FileCommand implements Command {
+    private final boolean mApply;
+
+    FileCommand(boolean apply) {
+        mApply = apply;
+    }
+
+    @Override
+    public String path() {
+        return mApply ? "apply" : "diff";
+    }
+
+    @Override
+    public String help() {
+        return mApply
+                ? "show what a file changes, then make all of it one change"
+                : "show what a file would change";
+    }
+
+    @Override
+    public void addArguments(ArgumentParser parser) {
+        parser.addArgument("file")
+                .metavar("FILE")
+                .help("JSON with comments; lists services, routes, tenants and delete");
+        if (mApply) {
+            parser.addArgument("--yes")
+                    .action(Arguments.storeTrue())
+                    .help("make the change without asking");
+            ChangeOptions.addTo(parser);
+        }
+    }
+
+    @Override
+    public ExitCode run(Namespace arguments, CommandContext context) throws CommandException {
+        List<Operation> wanted = ConfigurationFile.read(arguments.getString("file"));
+        Set<EntityName> names = Difference.namesOf(wanted);
+        if (names.isEmpty()) {
+            throw new CommandException(
+                    ExitCode.USAGE, arguments.getString("file") + " lists nothing; add entities");
+        }
+        ConfigurationReader reader = new ConfigurationReader(context.client());
+        ConfigurationReader.Snapshot shown = reader.read(names);
+        Difference difference = Difference.between(shown.entities(), wanted);
+        print(difference, shown.revision(), context);
+        if (!mApply || difference.operations().isEmpty()) {
+            return ExitCode.DONE;
+        }
+        if (!arguments.getBoolean("yes")) {
+            confirm(context);
+        }
+        ConfigurationReader.Snapshot current =
+                arguments.getBoolean("yes") ? shown : reader.read(names);
+        // Changes of other entities since the display do not matter to what the operator confirmed.
+        if (!current.entities().equals(shown.entities())) {
+            throw new CommandException(
+                    ExitCode.CONFLICT,
+                    "entities of the file were changed between revisions "
+                            + shown.revision()
+                            + " and "
+                            + current.revision()
+                            + "; nothing was sent; run the command again");
+        }
+        return new ChangeRunner(context, ChangeOptions.read(arguments))
+                .apply(current.revision(), difference.operations());
+    }
+
+    private void print(Difference difference, long revision, CommandContext context) {
+        // With JSON output, standard output of apply holds only the outcome.
+        boolean asMessage = mApply && context.options().json();
+        if (difference.lines().isEmpty()) {
+            context.output().printMessage("no difference from revision " + revision);
+        }
+        for (String line : difference.lines()) {
+            if (asMessage) {
+                context.output().printMessage(line);
+            } else {
+                context.output().printLine(line);
+            }
+        }
+    }
+
+    private static void confirm(CommandContext context) throws CommandException {
+        context.output().printMessage("make this change? Type yes:");
+        String answer = null;
+        try {
+            answer = context.input().readLine();
+        } catch (IOException unreadable) {
+            context.output().printMessage("standard input: " + unreadable.getMessage());
+        }
+        if (answer == null || !answer.strip().equals("yes")) {
+            throw new CommandException(
+                    ExitCode.FAILED, "not confirmed; nothing was sent; use --yes in scripts");
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/arbutuslock/cli/internal/RouteAdapter.java
@@ -0,0 +1,126 @@
+package org.arbutuslock.cli.internal;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.arbutuslock.v1.Entity;
+import org.arbutuslock.v1.EntityKind;
+import org.arbutuslock.v1.Route;
+import org.arbutuslock.v1.WorkClass;
+
+/** Options and columns of routes. */
+final class RouteAdapter implements EntityAdapter {
+    @Override
+    public EntityKind kind() {
+        return EntityKind.ENTITY_KIND_ROUTE;
+    }
+
+    @Override
+    public String word() {
+        return "route";
+    }
+
+    @Override
+    public void addOptions(ArgumentParser parser, boolean forCreation) {
+        parser.addArgument("--host").help("host that a request must name; empty for any");
+        parser.addArgument("--method").help("method that a request must have; empty for any");
+        parser.addArgument("--path").required(forCreation).help("path, starting with a slash");
+        parser.addArgument("--match")
+                .choices("exact", "prefix")
+                .help("whether paths below --path match too; default exact");
+        parser.addArgument("--header")
+                .metavar("NAME=VALUE")
+                .action(Arguments.append())
+                .help("header that a request must have; may be repeated; replaces all headers");
+        parser.addArgument("--service")
+                .required(forCreation)
+                .help("service that gets the requests");
+        parser.addArgument("--class")
+                .dest("work_class")
+                .choices("short", "long")
+                .required(forCreation)
+                .help("class of the work");
+        parser.addArgument("--idempotent")
+                .choices("yes", "no")
+                .help("whether a request may be executed more than once; default no");
+        EntityOptions.addNumber(
+                parser, "--deadline-millis", forCreation, "time for a response, 1 to 3600000");
+        EntityOptions.addNumber(
+                parser, "--priority", false, "0 (dropped first) to 9 (dropped last)");
+    }
+
+    @Override
+    public Entity build(String name, Optional<Entity> existing, Namespace arguments)
+            throws CommandException {
+        Route.Builder route =
+                existing.map(Entity::getRoute).orElse(Route.getDefaultInstance()).toBuilder()
+                        .setName(name);
+        EntityOptions.ifText(arguments, "host", route::setHost);
+        EntityOptions.ifText(arguments, "method", route::setMethod);
+        EntityOptions.ifText(arguments, "path", route::setPath);
+        EntityOptions.ifText(arguments, "match", text -> route.setPrefix("prefix".equals(text)));
+        EntityOptions.ifText(arguments, "service", route::setService);
+        EntityOptions.ifText(
+                arguments,
+                "work_class",
+                text ->
+                        route.setWorkClass(
+                                WorkClass.valueOf("WORK_CLASS_" + text.toUpperCase(Locale.ROOT))));
+        EntityOptions.ifText(
+                arguments, "idempotent", text -> route.setIdempotent("yes".equals(text)));
+        EntityOptions.ifNumber(arguments, "deadline_millis", route::setDeadlineMillis);
+        EntityOptions.ifNumber(arguments, "priority", route::setPriority);
+        setHeaders(route, arguments.getList("header"));
+        return Entity.newBuilder().setRoute(route).build();
+    }
+
+    @Override
+    public List<String> headings() {
+        return List.of(
+                "NAME",
+                "METHOD",
+                "HOST",
+                "PATH",
+                "SERVICE",
+                "CLASS",
+                "IDEMPOTENT",
+                "DEADLINE",
+                "PRIORITY");
+    }
+
+    @Override
+    public List<String> cells(Entity entity) {
+        Route route = entity.getRoute();
+        return List.of(
+                route.getName(),
+                route.getMethod(),
+                route.getHost(),
+                route.getPath() + (route.getPrefix() ? " (prefix)" : ""),
+                route.getService(),
+                EntityOptions.word(route.getWorkClass()),
+                route.getIdempotent() ? "yes" : "no",
+                route.getDeadlineMillis() + " ms",
+                String.valueOf(route.getPriority()));
+    }
+
+    private static void setHeaders(Route.Builder route, List<String> headers)
+            throws CommandException {
+        if (headers == null) {
+            return;
+        }
+        route.clearHeaders();
+        for (String header : headers) {
+            int equals = header.indexOf('=');
+            if (equals < 1) {
+                throw new CommandException(
+                        ExitCode.USAGE, "--header is \"" + header + "\"; give it as NAME=VALUE");
+            }
+            route.putHeaders(
+                    header.substring(0, equals).toLowerCase(Locale.ROOT),
+                    header.substring(equals + 1));
+        }
+    }
+}
