Add stand-in backend server with faults switched at run time

Detection, ejection and at-most-once checks need backend servers that are slow, wrong, hanging or truncating while they report themselves healthy, and a record of what was executed. BackendServer serves HTTP/1.1 with slots and a queue on one event loop, records executions by request id, echoes method, URI and body, and announces itself to its home node.

--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/backend/BackendServer.java
@@ -0,0 +1,182 @@
+package org.arbutuslock.testbed.backend;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
+
+/**
+ * Runs one backend server on one event loop.
+ *
+ * <pre>{@code
+ * EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+ * try (BackendServer server = BackendServer.start(settings, Clock.system(), group)) {
+ *     server.setFaults(BackendFaults.none().withHangShare(0.2));
+ *     assertTrue(server.executions().executedMoreThanOnce().isEmpty());
+ * }
+ * }</pre>
+ */
+public final class BackendServer implements AutoCloseable {
+    private static final int MAXIMUM_BODY_BYTES = 1 << 20;
+    private static final long DRAIN_CHECK_MILLIS = 50;
+    private static final int BACKLOG = 1024;
+
+    private final BackendState mState;
+    private final EventLoop mLoop;
+    private final ChannelGroup mConnections;
+    private final Channel mListener;
+    private final Optional<Announcer> mAnnouncer;
+
+    private BackendServer(BackendSettings settings, Clock clock, EventLoop loop) {
+        mState = new BackendState(settings, clock);
+        mLoop = loop;
+        mConnections = new DefaultChannelGroup(loop);
+        mListener = listen(settings.port());
+        mAnnouncer = settings.homeNode().map(home -> new Announcer(home, settings, port()));
+        mAnnouncer.ifPresent(announcer -> announcer.start(loop));
+    }
+
+    /**
+     * Starts a backend server.
+     *
+     * @param settings name, service, slots and times
+     * @param clock time of cold start and flapping
+     * @param group gives the event loop; the caller shuts it down
+     * @return the running server
+     */
+    public static BackendServer start(BackendSettings settings, Clock clock, EventLoopGroup group) {
+        return new BackendServer(settings, clock, group.next());
+    }
+
+    /**
+     * Returns the bound port.
+     *
+     * @return TCP port on loopback
+     */
+    public int port() {
+        return ((InetSocketAddress) mListener.localAddress()).getPort();
+    }
+
+    /**
+     * Replaces all faults. Work that has started keeps the faults of its start.
+     *
+     * @param faults wanted faults
+     */
+    public void setFaults(BackendFaults faults) {
+        mState.setFaults(faults);
+    }
+
+    /**
+     * Returns what was executed.
+     *
+     * @return live record
+     */
+    public ExecutionRecord executions() {
+        return mState.executions();
+    }
+
+    /**
+     * Counts work that ended because its connection closed.
+     *
+     * @return requests, queued or started
+     */
+    public long cancelled() {
+        return mState.cancelled();
+    }
+
+    /**
+     * Counts work that was refused with status 503.
+     *
+     * @return requests
+     */
+    public long shed() {
+        return mState.shed();
+    }
+
+    /**
+     * Leaves the service: tells the home node, serves until no work has been in progress for the
+     * quiet time, then closes. Every response during this time closes its connection.
+     *
+     * @param quiet time without work after which the server closes
+     * @param limit longest time until the server closes anyway
+     * @return completes after the close, with true when all work had finished
+     */
+    public CompletableFuture<Boolean> drain(Duration quiet, Duration limit) {
+        CompletableFuture<Boolean> drained = new CompletableFuture<>();
+        CompletableFuture<?> departed =
+                mAnnouncer
+                        .<CompletableFuture<?>>map(Announcer::depart)
+                        .orElseGet(() -> CompletableFuture.completedFuture(null));
+        departed.thenRunAsync(
+                () -> {
+                    mState.startDraining();
+                    long start = System.nanoTime();
+                    closeWhenQuiet(quiet, start + limit.toNanos(), start, drained);
+                },
+                mLoop);
+        return drained;
+    }
+
+    /** Closes all connections and cancels their work. Sends no departure. */
+    @Override
+    public void close() {
+        mAnnouncer.ifPresent(Announcer::close);
+        mListener.close().syncUninterruptibly();
+        mConnections.close().awaitUninterruptibly();
+    }
+
+    private void closeWhenQuiet(
+            Duration quiet, long limitNanos, long busyNanos, CompletableFuture<Boolean> drained) {
+        long now = System.nanoTime();
+        boolean idle = mState.queue().isIdle();
+        long lastBusyNanos = idle ? busyNanos : now;
+        if (now - lastBusyNanos >= quiet.toNanos() || now - limitNanos >= 0) {
+            mAnnouncer.ifPresent(Announcer::close);
+            mListener.close();
+            mConnections.close().addListener(done -> drained.complete(idle));
+            return;
+        }
+        mLoop.schedule(
+                () -> closeWhenQuiet(quiet, limitNanos, lastBusyNanos, drained),
+                DRAIN_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private Channel listen(int port) {
+        BackendControl control = new BackendControl(mState);
+        return new ServerBootstrap()
+                .group(mLoop, mLoop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                mConnections.add(channel);
+                                channel.pipeline()
+                                        .addLast(new HttpServerCodec())
+                                        .addLast(new HttpObjectAggregator(MAXIMUM_BODY_BYTES))
+                                        .addLast(new BackendHandler(mState, control));
+                            }
+                        })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .syncUninterruptibly()
+                .channel();
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in backend server whose faults are switched at run time. */
+package org.arbutuslock.testbed.backend;
