Add settings of a node, validated as a whole

A node that starts with a mistyped or partial settings file serves with values nobody meant. SettingsLoader reads JSON with comments, checks all fields and the relations between listeners, and returns either NodeSettings or every problem with file, line, column, field, value and what is allowed.

The tool's file reader now also reports JSON that exceeds the parser's nesting limit as malformed instead of unreadable.

--- a/cli/src/main/java/org/arbutuslock/cli/internal/ConfigurationFile.java
+++ b/cli/src/main/java/org/arbutuslock/cli/internal/ConfigurationFile.java
@@ -1,8 +1,8 @@
 package org.arbutuslock.cli.internal;
 
 import com.fasterxml.jackson.core.JsonLocation;
-import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import org.arbutuslock.v1.Entity;
 import org.arbutuslock.v1.EntityKind;
@@ -73,8 +74,11 @@
             try (JsonParser parser = MAPPER.createParser(Files.readString(mPath))) {
                 readSections(parser);
             }
-        } catch (JsonParseException malformed) {
-            mProblems.add(at(malformed.getLocation()) + malformed.getOriginalMessage());
+        } catch (JsonProcessingException malformed) {
+            // Errors about size or nesting limits may come without a location.
+            JsonLocation location =
+                    Objects.requireNonNullElse(malformed.getLocation(), JsonLocation.NA);
+            mProblems.add(at(location) + malformed.getOriginalMessage());
         } catch (IOException unreadable) {
             mProblems.add(
                     mPath
@@ -231,6 +235,9 @@
     }
 
     private String at(JsonLocation location) {
+        if (location.getLineNr() < 1) {
+            return mPath + ": ";
+        }
         return mPath + ":" + location.getLineNr() + ":" + location.getColumnNr() + ": ";
     }
 }
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/FieldRule.java
@@ -0,0 +1,55 @@
+package org.arbutuslock.internal.settings;
+
+/** What a field allows. */
+sealed interface FieldRule {
+    /** Describes the allowed values for error messages and for the documentation. */
+    String allowed();
+
+    /** A name of letters, digits and hyphens. */
+    record Name() implements FieldRule {
+        @Override
+        public String allowed() {
+            return "1 to 63 letters, digits and hyphens";
+        }
+    }
+
+    /** A whole number. */
+    record Whole(long minimum, long maximum) implements FieldRule {
+        @Override
+        public String allowed() {
+            return minimum + " to " + maximum;
+        }
+    }
+
+    /** An IP address and port. */
+    record Address() implements FieldRule {
+        @Override
+        public String allowed() {
+            return "IP address and port";
+        }
+    }
+
+    /** A list of IP addresses and ports. */
+    record Addresses(int maximumEntries) implements FieldRule {
+        @Override
+        public String allowed() {
+            return "list of at most " + maximumEntries + " IP addresses and ports";
+        }
+    }
+
+    /** Path of a file, relative to the settings file. */
+    record FilePath() implements FieldRule {
+        @Override
+        public String allowed() {
+            return "path of a readable file";
+        }
+    }
+
+    /** An object of certificate names and roles. */
+    record Roles() implements FieldRule {
+        @Override
+        public String allowed() {
+            return "object of certificate names with the value viewer or operator";
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsField.java
@@ -0,0 +1,82 @@
+package org.arbutuslock.internal.settings;
+
+/** Every field of a settings file with its unit, range and default. */
+enum SettingsField {
+    NODE_NAME("nodeName", "", new FieldRule.Name(), Defaults.REQUIRED),
+    REGION("region", "", new FieldRule.Name(), Defaults.REQUIRED),
+    AVAILABILITY_ZONE("availabilityZone", "", new FieldRule.Name(), Defaults.REQUIRED),
+    CALLERS_ADDRESS("callers.address", "", new FieldRule.Address(), Defaults.REQUIRED),
+    CALLERS_MAXIMUM_HEADER_BYTES(
+            "callers.maximumHeaderBytes", "bytes", new FieldRule.Whole(1_024, 65_536), "16384"),
+    CALLERS_IDLE_TIMEOUT_MILLIS(
+            "callers.idleTimeoutMillis", "ms", new FieldRule.Whole(1_000, 3_600_000), "60000"),
+    PEERS_ADDRESS("peers.address", "", new FieldRule.Address(), Defaults.REQUIRED),
+    PEERS_ADVERTISED_ADDRESS(
+            "peers.advertisedAddress", "", new FieldRule.Address(), Defaults.PEERS_ADDRESS),
+    PEERS_SEEDS("peers.seeds", "", new FieldRule.Addresses(64), Defaults.EMPTY),
+    ANNOUNCEMENTS_ADDRESS("announcements.address", "", new FieldRule.Address(), "127.0.0.1:7401"),
+    OPERATORS_ADDRESS("operators.address", "", new FieldRule.Address(), "127.0.0.1:7400"),
+    METRICS_ADDRESS("metrics.address", "", new FieldRule.Address(), "127.0.0.1:7402"),
+    STORE_ADDRESS("store.address", "", new FieldRule.Address(), Defaults.REQUIRED),
+    STORE_CALLS_PER_SECOND("store.callsPerSecond", "calls/s", new FieldRule.Whole(1, 500), "20"),
+    STORE_TIMEOUT_MILLIS("store.timeoutMillis", "ms", new FieldRule.Whole(50, 60_000), "2000"),
+    // 64 MiB is the limit of docs/design.md, section 5.
+    LIMITS_KEPT_RESPONSE_BYTES(
+            "limits.keptResponseBytes",
+            "bytes",
+            new FieldRule.Whole(1 << 20, 1 << 30),
+            String.valueOf(64 << 20)),
+    LIMITS_QUEUE_LENGTH(
+            "limits.queueLengthPerEndpoint", "requests", new FieldRule.Whole(1, 10_000), "64"),
+    LIMITS_DRAIN_SECONDS("limits.drainSeconds", "s", new FieldRule.Whole(1, 3_600), "30"),
+    LIMITS_CONNECTIONS(
+            "limits.connections", "connections", new FieldRule.Whole(1, 100_000), "10000"),
+    TLS_CERTIFICATE_FILE(
+            "tls.certificateFile", "", new FieldRule.FilePath(), Defaults.REQUIRED_WITH_TLS),
+    TLS_KEY_FILE("tls.keyFile", "", new FieldRule.FilePath(), Defaults.REQUIRED_WITH_TLS),
+    TLS_TRUST_FILE("tls.trustFile", "", new FieldRule.FilePath(), Defaults.REQUIRED_WITH_TLS),
+    TLS_ROLES("tls.roles", "", new FieldRule.Roles(), Defaults.REQUIRED_WITH_TLS);
+
+    private final String mPath;
+    private final String mUnit;
+    private final FieldRule mRule;
+    private final String mDefault;
+
+    SettingsField(String path, String unit, FieldRule rule, String defaultText) {
+        mPath = path;
+        mUnit = unit;
+        mRule = rule;
+        mDefault = defaultText;
+    }
+
+    String path() {
+        return mPath;
+    }
+
+    String unit() {
+        return mUnit;
+    }
+
+    FieldRule rule() {
+        return mRule;
+    }
+
+    /** Returns the default as it is written in a file, or one of {@link Defaults}. */
+    String defaultText() {
+        return mDefault;
+    }
+
+    boolean isRequired() {
+        return mDefault.equals(Defaults.REQUIRED) || mDefault.equals(Defaults.REQUIRED_WITH_TLS);
+    }
+
+    /** Defaults that are not values. */
+    static final class Defaults {
+        static final String REQUIRED = "required";
+        static final String REQUIRED_WITH_TLS = "required with tls";
+        static final String PEERS_ADDRESS = "peers.address";
+        static final String EMPTY = "empty";
+
+        private Defaults() {}
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsLoader.java
@@ -0,0 +1,172 @@
+package org.arbutuslock.internal.settings;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Loads the settings of a node from a file of JSON with comments. The file is checked as a whole,
+ * and all its problems are reported at once.
+ *
+ * <pre>{@code
+ * switch (new SettingsLoader().load(Path.of("config/node.json"))) {
+ *     case SettingsResult.Loaded(NodeSettings settings) -> start(settings);
+ *     case SettingsResult.Invalid(List<SettingsProblem> problems) -> problems.forEach(this::print);
+ * }
+ * }</pre>
+ */
+public final class SettingsLoader {
+    private static final long MAXIMUM_FILE_BYTES = 1 << 20;
+
+    /** Creates a loader. */
+    public SettingsLoader() {}
+
+    /**
+     * Loads a file.
+     *
+     * @param file path of the settings file
+     * @return the settings or all problems of the file
+     */
+    public SettingsResult load(Path file) {
+        ProblemCollector problems = new ProblemCollector(file.toString());
+        Optional<LocatedValue.Section> root = readFile(file, problems);
+        if (root.isEmpty()) {
+            return new SettingsResult.Invalid(problems.inOrder());
+        }
+        new UnknownFieldFinder(problems).find(root.get(), "");
+        Path directory = Optional.ofNullable(file.getParent()).orElse(Path.of(""));
+        FieldReader reader = new FieldReader(root.get(), directory, problems);
+        NodeSettings settings = build(reader);
+        if (problems.isEmpty()) {
+            // Relations between fields are meaningful only between valid fields.
+            checkRelations(settings, reader);
+        }
+        return problems.isEmpty()
+                ? new SettingsResult.Loaded(settings)
+                : new SettingsResult.Invalid(problems.inOrder());
+    }
+
+    private static Optional<LocatedValue.Section> readFile(Path file, ProblemCollector problems) {
+        try {
+            long size = Files.size(file);
+            if (size > MAXIMUM_FILE_BYTES) {
+                problems.add(
+                        0,
+                        0,
+                        "",
+                        size + " bytes",
+                        "the file has "
+                                + size
+                                + " bytes; allowed are "
+                                + MAXIMUM_FILE_BYTES
+                                + " bytes");
+                return Optional.empty();
+            }
+            return Optional.ofNullable(
+                    new LocatedJsonReader(problems).read(Files.readString(file)));
+        } catch (IOException unreadable) {
+            problems.add(0, 0, "", "", describe(unreadable));
+            return Optional.empty();
+        }
+    }
+
+    private static String describe(IOException unreadable) {
+        return switch (unreadable) {
+            case NoSuchFileException missing ->
+                    "the file does not exist; copy config/node.example.json and adapt it";
+            case CharacterCodingException malformed -> "the file is not UTF-8 text; convert it";
+            default ->
+                    "the file cannot be read ("
+                            + unreadable.getClass().getSimpleName()
+                            + "); check its permissions";
+        };
+    }
+
+    private static NodeSettings build(FieldReader reader) {
+        return new NodeSettings(
+                reader.readName(SettingsField.NODE_NAME),
+                reader.readName(SettingsField.REGION),
+                reader.readName(SettingsField.AVAILABILITY_ZONE),
+                new NodeSettings.Callers(
+                        reader.readAddress(SettingsField.CALLERS_ADDRESS),
+                        (int) reader.readWhole(SettingsField.CALLERS_MAXIMUM_HEADER_BYTES),
+                        (int) reader.readWhole(SettingsField.CALLERS_IDLE_TIMEOUT_MILLIS)),
+                buildPeers(reader),
+                new NodeSettings.Announcements(
+                        reader.readAddress(SettingsField.ANNOUNCEMENTS_ADDRESS)),
+                new NodeSettings.Operators(reader.readAddress(SettingsField.OPERATORS_ADDRESS)),
+                new NodeSettings.Metrics(reader.readAddress(SettingsField.METRICS_ADDRESS)),
+                new NodeSettings.Store(
+                        reader.readAddress(SettingsField.STORE_ADDRESS),
+                        (int) reader.readWhole(SettingsField.STORE_CALLS_PER_SECOND),
+                        (int) reader.readWhole(SettingsField.STORE_TIMEOUT_MILLIS)),
+                new NodeSettings.Limits(
+                        reader.readWhole(SettingsField.LIMITS_KEPT_RESPONSE_BYTES),
+                        (int) reader.readWhole(SettingsField.LIMITS_QUEUE_LENGTH),
+                        (int) reader.readWhole(SettingsField.LIMITS_DRAIN_SECONDS),
+                        (int) reader.readWhole(SettingsField.LIMITS_CONNECTIONS)),
+                reader.has("tls") ? Optional.of(buildTls(reader)) : Optional.empty());
+    }
+
+    private static NodeSettings.Peers buildPeers(FieldReader reader) {
+        InetSocketAddress address = reader.readAddress(SettingsField.PEERS_ADDRESS);
+        boolean advertised = reader.has(SettingsField.PEERS_ADVERTISED_ADDRESS.path());
+        return new NodeSettings.Peers(
+                address,
+                advertised ? reader.readAddress(SettingsField.PEERS_ADVERTISED_ADDRESS) : address,
+                reader.readAddresses(SettingsField.PEERS_SEEDS));
+    }
+
+    private static NodeSettings.Tls buildTls(FieldReader reader) {
+        return new NodeSettings.Tls(
+                reader.readFile(SettingsField.TLS_CERTIFICATE_FILE),
+                reader.readFile(SettingsField.TLS_KEY_FILE),
+                reader.readFile(SettingsField.TLS_TRUST_FILE),
+                reader.readRoles(SettingsField.TLS_ROLES));
+    }
+
+    private static void checkRelations(NodeSettings settings, FieldReader reader) {
+        if (settings.peers().advertisedAddress().getAddress().isAnyLocalAddress()) {
+            reader.report(
+                    SettingsField.PEERS_ADVERTISED_ADDRESS,
+                    "other nodes cannot connect to this address; set the address of this host");
+        }
+        if (!settings.announcements().address().getAddress().isLoopbackAddress()) {
+            reader.report(
+                    SettingsField.ANNOUNCEMENTS_ADDRESS,
+                    "allowed is a loopback address, since announcements are not authenticated");
+        }
+        boolean loopback = settings.operators().address().getAddress().isLoopbackAddress();
+        if (settings.tls().isEmpty() && !loopback) {
+            reader.report(
+                    SettingsField.OPERATORS_ADDRESS,
+                    "allowed is a loopback address unless tls is set; add tls");
+        }
+        checkListeners(settings, reader);
+    }
+
+    private static void checkListeners(NodeSettings settings, FieldReader reader) {
+        Map<SettingsField, InetSocketAddress> listeners = new LinkedHashMap<>();
+        listeners.put(SettingsField.CALLERS_ADDRESS, settings.callers().address());
+        listeners.put(SettingsField.PEERS_ADDRESS, settings.peers().address());
+        listeners.put(SettingsField.ANNOUNCEMENTS_ADDRESS, settings.announcements().address());
+        listeners.put(SettingsField.OPERATORS_ADDRESS, settings.operators().address());
+        listeners.put(SettingsField.METRICS_ADDRESS, settings.metrics().address());
+        Map<InetSocketAddress, SettingsField> used = new LinkedHashMap<>();
+        listeners.forEach(
+                (field, address) -> {
+                    SettingsField other = used.putIfAbsent(address, field);
+                    if (other != null) {
+                        reader.report(
+                                field,
+                                "the same address is set for " + other.path() + "; change one");
+                    }
+                });
+    }
+}
