Carry a caller's request across two nodes to a backend server

Change: plug-ins for event loops, home, sessions, configuration, metrics, fleet and callers; the daemon's main class; an in-process fleet for tests.

--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/Main.java
@@ -0,0 +1,82 @@
+package org.arbutuslock.daemon;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.PluginException;
+import org.arbutuslock.daemon.internal.node.Node;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.settings.NodeSettings;
+import org.arbutuslock.internal.settings.SettingsLoader;
+import org.arbutuslock.internal.settings.SettingsProblem;
+import org.arbutuslock.internal.settings.SettingsResult;
+
+/** Runs a node: {@code arbutuslock-node --settings node.json}. SIGTERM is a graceful shutdown. */
+public final class Main {
+    private static final EventLogger LOGGER = EventLogger.forComponent("main");
+    private static final int FAILED = 1;
+    private static final int WRONG_INPUT = 2;
+
+    private Main() {}
+
+    /**
+     * Starts the node and returns when it has stopped.
+     *
+     * @param arguments command line
+     * @throws InterruptedException when the main thread is interrupted
+     */
+    public static void main(String[] arguments) throws InterruptedException {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("arbutuslock-node")
+                        .build()
+                        .defaultHelp(true)
+                        .description("Runs one node beside a backend server.");
+        parser.addArgument("--settings")
+                .required(true)
+                .metavar("FILE")
+                .help("settings file, JSON with comments");
+        try {
+            Namespace options = parser.parseArgs(arguments);
+            run(Path.of(options.getString("settings")));
+        } catch (ArgumentParserException wrong) {
+            parser.handleError(wrong);
+            System.exit(WRONG_INPUT);
+        }
+    }
+
+    private static void run(Path file) throws InterruptedException {
+        switch (new SettingsLoader().load(file)) {
+            case SettingsResult.Loaded(NodeSettings settings) -> runNode(settings);
+            case SettingsResult.Invalid(List<SettingsProblem> problems) -> {
+                problems.forEach(System.err::println);
+                System.exit(WRONG_INPUT);
+            }
+        }
+    }
+
+    private static void runNode(NodeSettings settings) throws InterruptedException {
+        CountDownLatch stopped = new CountDownLatch(1);
+        try {
+            Node node = Node.start(settings, Clock.system());
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(() -> shutDown(node, stopped), "shutdown"));
+        } catch (PluginException | RuntimeException failed) {
+            // Binding a listener fails with an unchecked exception of Netty.
+            LOGGER.log(Event.START_FAILED, failed.getMessage());
+            System.exit(FAILED);
+        }
+        stopped.await();
+    }
+
+    private static void shutDown(Node node, CountDownLatch stopped) {
+        node.drain();
+        node.stop();
+        stopped.countDown();
+    }
+}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -17,10 +17,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.arbutuslock.api.RequestId;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
 import org.arbutuslock.internal.messages.PeerMessageCodec;
 
 /** Accepts HTTP/1.1 connections of callers. */
 public final class CallerServer {
+    private static final EventLogger LOGGER = EventLogger.forComponent("callers");
+
     private final Channel mListener;
     private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger mActiveRequests = new AtomicInteger();
@@ -62,6 +66,11 @@
     }
 
     private void addHandlers(Channel channel, CallerLimits limits) {
+        if (mConnections.size() >= limits.connections()) {
+            LOGGER.log(Event.CALLER_LIMIT_REACHED, channel.remoteAddress(), limits.connections());
+            channel.close();
+            return;
+        }
         mConnections.add(channel);
         HttpDecoderConfig decoder =
                 new HttpDecoderConfig().setMaxHeaderSize(limits.maximumHeaderBytes());
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -0,0 +1,132 @@
+package org.arbutuslock.daemon.internal.callers;
+
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.locks.LockSupport;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.Plugin;
+import org.arbutuslock.api.PluginContext;
+import org.arbutuslock.api.PluginException;
+import org.arbutuslock.daemon.internal.configuration.ConfigurationPlugin;
+import org.arbutuslock.daemon.internal.fleet.FleetDirectory;
+import org.arbutuslock.daemon.internal.fleet.FleetPlugin;
+import org.arbutuslock.daemon.internal.home.HomePlugin;
+import org.arbutuslock.daemon.internal.home.HomeService;
+import org.arbutuslock.daemon.internal.metrics.MetricsPlugin;
+import org.arbutuslock.daemon.internal.metrics.RequestMetrics;
+import org.arbutuslock.daemon.internal.sessions.LocalNode;
+import org.arbutuslock.daemon.internal.sessions.PeerLinks;
+import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.selection.RegionLinkBudget;
+import org.arbutuslock.internal.settings.NodeSettings;
+
+/** Provides the entry node's side: the callers' server. */
+public final class CallersPlugin implements Plugin {
+    /** Name of this plug-in. */
+    public static final String NAME = "callers";
+
+    private static final EventLogger LOGGER = EventLogger.forComponent("callers");
+    // A sixteenth of a link of 30 Mbit/s, so that 16 nodes of a region can use it at once.
+    private static final long LINK_BYTES_PER_SECOND = 30_000_000 / 8 / 16;
+    private static final Duration LINK_BURST = Duration.ofSeconds(5);
+    // Time for callers and other nodes to learn that this node is leaving.
+    private static final Duration NOTICE = Duration.ofSeconds(2);
+    private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+
+    private CallerServer mServer;
+    private HomeService mHome;
+    private Clock mClock;
+    private int mDrainSeconds;
+
+    /** Creates the plug-in; called by the service loader. */
+    public CallersPlugin() {}
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> requires() {
+        return Set.of(
+                FleetPlugin.NAME,
+                HomePlugin.NAME,
+                SessionsPlugin.NAME,
+                ConfigurationPlugin.NAME,
+                MetricsPlugin.NAME);
+    }
+
+    @Override
+    public void start(PluginContext context) throws PluginException {
+        NodeSettings settings = context.require(NodeSettings.class);
+        LocalNode localNode = context.require(LocalNode.class);
+        ConfigurationHolder configuration = context.require(ConfigurationHolder.class);
+        FleetDirectory fleet = context.require(FleetDirectory.class);
+        mClock = context.require(Clock.class);
+        mHome = context.require(HomeService.class);
+        mDrainSeconds = settings.limits().drainSeconds();
+        FleetEndpointChooser chooser =
+                new FleetEndpointChooser(
+                        localNode,
+                        mClock,
+                        fleet::current,
+                        configuration,
+                        new RegionLinkBudget(mClock, LINK_BYTES_PER_SECOND, LINK_BURST),
+                        ThreadLocalRandom.current().nextLong());
+        EntryServices services =
+                new EntryServices(
+                        localNode,
+                        mClock,
+                        configuration,
+                        chooser,
+                        fleet::current,
+                        new HomeNodes(localNode, mHome, context.require(PeerLinks.class)),
+                        new ServiceRetryPolicy(mClock, configuration),
+                        context.require(RequestMetrics.class));
+        NodeSettings.Callers callers = settings.callers();
+        CallerLimits limits =
+                new CallerLimits(
+                        callers.maximumHeaderBytes(),
+                        Duration.ofMillis(callers.idleTimeoutMillis()),
+                        settings.limits().connections());
+        mServer =
+                new CallerServer(
+                        context.require(EventLoopGroup.class), callers.address(), limits, services);
+        context.provide(CallerServer.class, mServer);
+    }
+
+    /**
+     * Tells callers to move while new connections are still accepted, then waits until neither
+     * callers nor other nodes have requests in progress here.
+     */
+    @Override
+    public void drain() {
+        mServer.startDraining();
+        LockSupport.parkNanos(NOTICE.toNanos());
+        mHome.drain();
+        mServer.closeListener();
+        long start = mClock.nanoTime();
+        long limitNanos = Duration.ofSeconds(mDrainSeconds).toNanos();
+        while (unfinished() > 0) {
+            if (mClock.nanoTime() - start > limitNanos) {
+                LOGGER.log(Event.DRAIN_LIMIT_REACHED, mDrainSeconds, unfinished());
+                return;
+            }
+            LockSupport.parkNanos(DRAIN_POLL.toNanos());
+        }
+    }
+
+    private int unfinished() {
+        return mServer.activeRequests() + mHome.activeRequests();
+    }
+
+    @Override
+    public void stop() {
+        mServer.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationPlugin.java
@@ -0,0 +1,88 @@
+package org.arbutuslock.daemon.internal.configuration;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.Plugin;
+import org.arbutuslock.api.PluginContext;
+import org.arbutuslock.api.PluginException;
+import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.daemon.internal.eventloops.EventLoopsPlugin;
+import org.arbutuslock.daemon.internal.store.GrpcPlatformStore;
+import org.arbutuslock.daemon.internal.store.StoreClientSettings;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.configuration.ConfigurationLog;
+import org.arbutuslock.internal.settings.NodeSettings;
+
+/** Provides the configuration in force and the log of changes in the platform's store. */
+public final class ConfigurationPlugin implements Plugin {
+    /** Name of this plug-in. */
+    public static final String NAME = "configuration";
+
+    private PlatformStore mStore;
+    private AutoCloseable mFollower;
+
+    /** Creates the plug-in; called by the service loader. */
+    public ConfigurationPlugin() {}
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> requires() {
+        return Set.of(EventLoopsPlugin.NAME);
+    }
+
+    @Override
+    public void start(PluginContext context) throws PluginException {
+        Clock clock = context.require(Clock.class);
+        EventLoop eventLoop = context.require(EventLoopGroup.class).next();
+        // Jitter only; nothing that a check depends on is decided by it.
+        RandomGenerator jitter = () -> ThreadLocalRandom.current().nextLong();
+        mStore =
+                new GrpcPlatformStore(
+                        clientSettings(context.require(NodeSettings.class).store()), clock, jitter);
+        ConfigurationHolder holder = new ConfigurationHolder();
+        ConfigurationLog log =
+                new ConfigurationLog(
+                        mStore,
+                        holder,
+                        clock,
+                        (delay, task) ->
+                                eventLoop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS),
+                        jitter);
+        mFollower = log.follow();
+        context.provide(PlatformStore.class, mStore);
+        context.provide(ConfigurationHolder.class, holder);
+        context.provide(ConfigurationLog.class, log);
+    }
+
+    private static StoreClientSettings clientSettings(NodeSettings.Store settings) {
+        StoreClientSettings defaults = StoreClientSettings.withDefaults(settings.address());
+        return new StoreClientSettings(
+                settings.address(),
+                Duration.ofMillis(settings.timeoutMillis()),
+                settings.callsPerSecond(),
+                defaults.initialBackoff(),
+                defaults.maximumBackoff(),
+                defaults.watchSilence());
+    }
+
+    @Override
+    public void stop() {
+        try {
+            mFollower.close();
+        } catch (Exception failed) {
+            throw new IllegalStateException("the follower of the log did not close", failed);
+        } finally {
+            mStore.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps the configuration of a node up to date. */
+package org.arbutuslock.daemon.internal.configuration;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -37,7 +37,7 @@
      *
      * @param id the endpoint
      * @param address address of its backend server
-     * @param slots requests that it works on at once
+     * @param admission bounds of admission, with the number of slots
      * @param eventLoop event loop to which the endpoint is confined
      * @param clock time of admission and connections
      * @param observations gets the evidence of finished requests
@@ -45,15 +45,15 @@
     public EndpointRuntime(
             EndpointId id,
             InetSocketAddress address,
-            int slots,
+            AdmissionSettings admission,
             EventLoop eventLoop,
             Clock clock,
             ObservationListener observations) {
         mId = id;
         mAddress = address;
-        mSlots = slots;
+        mSlots = admission.slots();
         mEventLoop = eventLoop;
-        mAdmission = new AdmissionController<>(clock, AdmissionSettings.forSlots(slots));
+        mAdmission = new AdmissionController<>(clock, admission);
         mPool = new BackendConnectionPool(eventLoop, clock, address);
         mObservations = observations;
     }
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomePlugin.java
@@ -0,0 +1,101 @@
+package org.arbutuslock.daemon.internal.home;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.Plugin;
+import org.arbutuslock.api.PluginContext;
+import org.arbutuslock.api.PluginException;
+import org.arbutuslock.daemon.internal.announcements.AnnouncementHandler;
+import org.arbutuslock.daemon.internal.eventloops.EventLoopsPlugin;
+import org.arbutuslock.daemon.internal.http.SmallHttpServer;
+import org.arbutuslock.daemon.internal.sessions.HomeNode;
+import org.arbutuslock.daemon.internal.sessions.LocalNode;
+import org.arbutuslock.internal.execution.ExecutionLedger;
+import org.arbutuslock.internal.execution.LedgerLimits;
+import org.arbutuslock.internal.settings.NodeSettings;
+
+/** Provides the home node's side: endpoints, execution ledger and the announcement server. */
+public final class HomePlugin implements Plugin {
+    /** Name of this plug-in. */
+    public static final String NAME = "home";
+
+    private static final long EXPIRE_INTERVAL_MILLIS = 500;
+
+    private HomeService mHome;
+    private SmallHttpServer mAnnouncements;
+    private Future<?> mExpiry;
+
+    /** Creates the plug-in; called by the service loader. */
+    public HomePlugin() {}
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> requires() {
+        return Set.of(EventLoopsPlugin.NAME);
+    }
+
+    @Override
+    public void start(PluginContext context) throws PluginException {
+        NodeSettings settings = context.require(NodeSettings.class);
+        Clock clock = context.require(Clock.class);
+        EventLoopGroup eventLoops = context.require(EventLoopGroup.class);
+        Observations observations = new Observations();
+        LocalEndpoints endpoints =
+                new LocalEndpoints(
+                        clock,
+                        eventLoops,
+                        observations,
+                        settings.limits().queueLengthPerEndpoint());
+        long incarnation = context.require(LocalNode.class).incarnation();
+        ExecutionLedger ledger = new ExecutionLedger(clock, incarnation, limits(settings.limits()));
+        mHome = new HomeService(clock, ledger, endpoints);
+        endpoints.connect(mHome);
+        mAnnouncements =
+                new SmallHttpServer(
+                        eventLoops,
+                        settings.announcements().address(),
+                        "announcements",
+                        new AnnouncementHandler(endpoints));
+        mExpiry =
+                eventLoops
+                        .next()
+                        .scheduleWithFixedDelay(
+                                () -> expire(endpoints),
+                                EXPIRE_INTERVAL_MILLIS,
+                                EXPIRE_INTERVAL_MILLIS,
+                                TimeUnit.MILLISECONDS);
+        context.provide(Observations.class, observations);
+        context.provide(LocalEndpoints.class, endpoints);
+        context.provide(HomeService.class, mHome);
+        context.provide(HomeNode.class, mHome);
+    }
+
+    private void expire(LocalEndpoints endpoints) {
+        endpoints.expire();
+        mHome.expireRecords();
+    }
+
+    private static LedgerLimits limits(NodeSettings.Limits limits) {
+        LedgerLimits standard = LedgerLimits.standard();
+        return new LedgerLimits(
+                standard.retention(),
+                standard.keptResponseBytes(),
+                limits.keptResponseBytes(),
+                standard.records(),
+                standard.entryNodes());
+    }
+
+    @Override
+    public void stop() {
+        mExpiry.cancel(false);
+        mAnnouncements.close();
+        mHome.endpoints().values().forEach(EndpointRuntime::close);
+    }
+}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.internal.admission.AdmissionSettings;
 import org.arbutuslock.internal.ejection.EndpointState;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
@@ -30,6 +31,7 @@
     private final Clock mClock;
     private final EventLoopGroup mEventLoops;
     private final ObservationListener mObservations;
+    private final int mQueueLength;
     private final Map<EndpointId, Entry> mEntries = new ConcurrentHashMap<>();
     private final List<ChangeListener> mListeners = new CopyOnWriteArrayList<>();
     private HomeService mHome;
@@ -40,9 +42,14 @@
      * @param clock time of announcements
      * @param eventLoops event loops to which endpoints are confined
      * @param observations gets the evidence of finished requests
+     * @param queueLength most requests that wait for one endpoint
      */
     public LocalEndpoints(
-            Clock clock, EventLoopGroup eventLoops, ObservationListener observations) {
+            Clock clock,
+            EventLoopGroup eventLoops,
+            ObservationListener observations,
+            int queueLength) {
+        mQueueLength = queueLength;
         mClock = clock;
         mEventLoops = eventLoops;
         mObservations = observations;
@@ -85,7 +92,13 @@
             return;
         }
         EndpointRuntime runtime =
-                new EndpointRuntime(id, address, slots, mEventLoops.next(), mClock, mObservations);
+                new EndpointRuntime(
+                        id,
+                        address,
+                        AdmissionSettings.forSlots(slots).withQueueCapacity(mQueueLength),
+                        mEventLoops.next(),
+                        mClock,
+                        mObservations);
         mEntries.put(id, new Entry(runtime, mClock.nanoTime()));
         mHome.addEndpoint(runtime);
         LOGGER.log(Event.ENDPOINT_ANNOUNCED, id, address, slots);
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/Observations.java
@@ -0,0 +1,31 @@
+package org.arbutuslock.daemon.internal.home;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.WorkClass;
+
+/** Passes observations on to every registered listener. */
+public final class Observations implements ObservationListener {
+    private final List<ObservationListener> mListeners = new CopyOnWriteArrayList<>();
+
+    /** Creates a dispatcher without listeners. */
+    public Observations() {}
+
+    /**
+     * Registers a listener.
+     *
+     * @param listener gets all later observations
+     */
+    public void addListener(ObservationListener listener) {
+        mListeners.add(listener);
+    }
+
+    @Override
+    public void observed(
+            EndpointId endpoint, WorkClass workClass, long latencyNanos, ObservedOutcome outcome) {
+        for (ObservationListener listener : mListeners) {
+            listener.observed(endpoint, workClass, latencyNanos, outcome);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/MetricsPlugin.java
@@ -0,0 +1,102 @@
+package org.arbutuslock.daemon.internal.metrics;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import java.util.Set;
+import org.arbutuslock.api.Plugin;
+import org.arbutuslock.api.PluginContext;
+import org.arbutuslock.api.PluginException;
+import org.arbutuslock.daemon.internal.configuration.ConfigurationPlugin;
+import org.arbutuslock.daemon.internal.http.SmallHttpServer;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.settings.NodeSettings;
+
+/** Serves {@code /metrics}, {@code /health} and {@code /ready}. */
+public final class MetricsPlugin implements Plugin {
+    /** Name of this plug-in. */
+    public static final String NAME = "metrics";
+
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private PrometheusMeterRegistry mRegistry;
+    private ConfigurationHolder mConfiguration;
+    private SmallHttpServer mServer;
+    private volatile boolean mDraining;
+
+    /** Creates the plug-in; called by the service loader. */
+    public MetricsPlugin() {}
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> requires() {
+        return Set.of(ConfigurationPlugin.NAME);
+    }
+
+    @Override
+    public void start(PluginContext context) throws PluginException {
+        mRegistry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        mConfiguration = context.require(ConfigurationHolder.class);
+        new JvmMemoryMetrics().bindTo(mRegistry);
+        Gauge.builder(
+                        "arbutuslock.configuration.revision",
+                        mConfiguration,
+                        holder -> holder.current().revision())
+                .description("revision of the configuration in force")
+                .register(mRegistry);
+        mServer =
+                new SmallHttpServer(
+                        context.require(EventLoopGroup.class),
+                        context.require(NodeSettings.class).metrics().address(),
+                        "metrics",
+                        this::answer);
+        context.provide(MeterRegistry.class, mRegistry);
+        context.provide(RequestMetrics.class, new RequestMetrics(mRegistry));
+    }
+
+    private FullHttpResponse answer(FullHttpRequest request) {
+        return switch (request.uri()) {
+            case "/metrics" -> SmallHttpServer.text(OK, mRegistry.scrape());
+            case "/health" -> SmallHttpServer.text(OK, "alive\n");
+            case "/ready" -> answerReady();
+            default ->
+                    SmallHttpServer.text(
+                            NOT_FOUND,
+                            "read path "
+                                    + request.uri()
+                                    + ", allowed /metrics, /health and /ready\n");
+        };
+    }
+
+    private FullHttpResponse answerReady() {
+        if (mDraining) {
+            return SmallHttpServer.text(SERVICE_UNAVAILABLE, "shutting down\n");
+        }
+        if (mConfiguration.current().revision() == 0) {
+            return SmallHttpServer.text(SERVICE_UNAVAILABLE, "no configuration yet\n");
+        }
+        return SmallHttpServer.text(OK, "ready\n");
+    }
+
+    @Override
+    public void drain() {
+        mDraining = true;
+    }
+
+    @Override
+    public void stop() {
+        mServer.close();
+        mRegistry.close();
+    }
+}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLink.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLink.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -140,19 +139,4 @@
             open(opening);
         }
     }
-
-    /** Parses addresses of the form {@code 127.0.0.1:7000}. */
-    static final class Addresses {
-        private Addresses() {}
-
-        static InetSocketAddress parse(String address) {
-            int colon = address.lastIndexOf(':');
-            if (colon < 1) {
-                throw new IllegalArgumentException(
-                        "address \"" + address + "\" has no port; write IP:port");
-            }
-            return new InetSocketAddress(
-                    address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-        }
-    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The node daemon: one process beside each backend server. */
+package org.arbutuslock.daemon;
--- a/kernel/src/main/java/org/arbutuslock/api/Plugin.java
+++ b/kernel/src/main/java/org/arbutuslock/api/Plugin.java
@@ -40,7 +40,7 @@
 
     /**
      * Stops taking new work and waits, up to the node's limit, for work in progress. Called on
-     * every plug-in in reverse order of start before any {@link #stop()}.
+     * every plug-in in the order of start before any {@link #stop()}.
      */
     default void drain() {}
 
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/AdmissionSettings.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/AdmissionSettings.java
@@ -58,6 +58,17 @@
                 Duration.ofMillis(DECISION_MILLIS));
     }
 
+    /**
+     * Changes the length of the queue.
+     *
+     * @param capacity most requests that wait
+     * @return changed settings
+     */
+    public AdmissionSettings withQueueCapacity(int capacity) {
+        return new AdmissionSettings(
+                slots, overcommit, capacity, shortReserve, coldStartRamp, decisionTime);
+    }
+
     /**
      * Returns the largest concurrency limit.
      *
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -26,6 +26,8 @@
     CALLER_REQUEST_MALFORMED(2001, Level.INFO, "malformed request from {0}: {1}"),
     /** A caller's connection failed. */
     CALLER_CONNECTION_FAILED(2002, Level.DEBUG, "connection of caller {0} failed: {1}"),
+    /** A caller's connection was closed because too many are open. */
+    CALLER_LIMIT_REACHED(2003, Level.WARNING, "caller {0} turned away, limit of {1} connections"),
     /** This node opened a session. */
     SESSION_OPENED(3001, Level.INFO, "session to node {0} incarnation {1} opened as {2}"),
     /** This node accepted a session. */
--- a/kernel/src/main/java/org/arbutuslock/internal/plugins/PluginRuntime.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/plugins/PluginRuntime.java
@@ -90,9 +90,12 @@
         }
     }
 
-    /** Drains all started plug-ins, the last started first. */
+    /**
+     * Drains all started plug-ins in the order of start, so that the departure is announced before
+     * anybody waits for work in progress.
+     */
     public void drain() {
-        mStarted.forEach(Plugin::drain);
+        mStarted.descendingIterator().forEachRemaining(Plugin::drain);
     }
 
     /** Stops all started plug-ins, the last started first. */
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fleet/FleetSettings.java
@@ -0,0 +1,51 @@
+package org.arbutuslock.testbed.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import org.arbutuslock.internal.settings.NodeSettings;
+
+/** Creates the settings of local nodes. */
+public final class FleetSettings {
+    private static final int HEADER_BYTES = 16_384;
+    private static final int IDLE_MILLIS = 60_000;
+    private static final int STORE_CALLS_PER_SECOND = 200;
+    private static final int STORE_TIMEOUT_MILLIS = 1_000;
+    private static final long KEPT_BYTES = 64L << 20;
+    private static final int QUEUE_LENGTH = 256;
+    private static final int DRAIN_SECONDS = 30;
+    private static final int CONNECTIONS = 10_000;
+
+    private FleetSettings() {}
+
+    /**
+     * Creates settings with free ports on the loopback address.
+     *
+     * @param name name of the node
+     * @param region region of the node
+     * @param availabilityZone availability zone of the node
+     * @param store address of the store
+     * @param seeds addresses of nodes to contact first
+     * @return the settings
+     */
+    public static NodeSettings create(
+            String name,
+            String region,
+            String availabilityZone,
+            InetSocketAddress store,
+            List<InetSocketAddress> seeds) {
+        InetSocketAddress peers = FreePorts.next();
+        return new NodeSettings(
+                name,
+                region,
+                availabilityZone,
+                new NodeSettings.Callers(FreePorts.next(), HEADER_BYTES, IDLE_MILLIS),
+                new NodeSettings.Peers(peers, peers, seeds),
+                new NodeSettings.Announcements(FreePorts.next()),
+                new NodeSettings.Operators(FreePorts.next()),
+                new NodeSettings.Metrics(FreePorts.next()),
+                new NodeSettings.Store(store, STORE_CALLS_PER_SECOND, STORE_TIMEOUT_MILLIS),
+                new NodeSettings.Limits(KEPT_BYTES, QUEUE_LENGTH, DRAIN_SECONDS, CONNECTIONS),
+                Optional.empty());
+    }
+}
