Add open-loop load tool

Benchmarks and history checks need load whose arrival times do not depend on responses.

The lint warnings of StoreFaultsTest about unused try resources are gone; the variables are unnamed now.

--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/load/LoadWorker.java
@@ -0,0 +1,92 @@
+package org.arbutuslock.testbed.load;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Sends a part of the arrivals on one event loop and collects their results. */
+final class LoadWorker {
+    private static final long NANOS_PER_MICRO = 1000;
+
+    private final LoadPlan mPlan;
+    private final EventLoop mLoop;
+    private final LoadReport mReport;
+    private final List<TargetPool> mPools;
+    private final Consumer<LoadSample> mListener;
+    private long mStartNanos;
+    private long mPending;
+    private boolean mLastArrived;
+    private final CountDownLatch mDone = new CountDownLatch(1);
+
+    LoadWorker(LoadPlan plan, EventLoop loop, Consumer<LoadSample> listener) {
+        mPlan = plan;
+        mLoop = loop;
+        mListener = listener;
+        mReport = new LoadReport(plan);
+        int limit = plan.connectionsPerTarget() / plan.threads();
+        mPools =
+                plan.targets().stream()
+                        .map(target -> new TargetPool(loop, target, limit, this::finish))
+                        .toList();
+    }
+
+    /** Sets the time to which all arrivals are relative. Called before the first arrival. */
+    void start(long startNanos) {
+        mStartNanos = startNanos;
+    }
+
+    /** Hands over an arrival that is due. Called from the pacing thread. */
+    void arrive(Arrival arrival) {
+        mLoop.execute(() -> submit(arrival));
+    }
+
+    /** Tells that no arrival follows. */
+    void arriveNoMore() {
+        mLoop.execute(
+                () -> {
+                    mLastArrived = true;
+                    completeWhenDone();
+                });
+    }
+
+    boolean await(long timeout, TimeUnit unit) throws InterruptedException {
+        return mDone.await(timeout, unit);
+    }
+
+    /** Returns the figures. Called after {@link #await}. */
+    LoadReport report() {
+        return mReport;
+    }
+
+    void close() {
+        mLoop.execute(() -> mPools.forEach(TargetPool::close));
+    }
+
+    private void submit(Arrival arrival) {
+        long intendedAt = mStartNanos + arrival.intendedNanos();
+        long now = System.nanoTime();
+        mReport.addSendDelay((now - intendedAt) / NANOS_PER_MICRO);
+        Exchange exchange = new Exchange(arrival, mPlan.kinds().get(arrival.kind()), intendedAt);
+        TargetPool pool = mPools.get((int) (arrival.sequence() % mPools.size()));
+        long remaining = intendedAt + mPlan.timeout().toNanos() - now;
+        exchange.setTimer(
+                mLoop.schedule(() -> pool.timeOut(exchange), remaining, TimeUnit.NANOSECONDS));
+        mPending++;
+        pool.submit(exchange);
+    }
+
+    private void finish(Exchange exchange, LoadSample sample) {
+        mReport.add(exchange.arrival(), sample);
+        mListener.accept(sample);
+        mPending--;
+        completeWhenDone();
+    }
+
+    private void completeWhenDone() {
+        if (mLastArrived && mPending == 0) {
+            mDone.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/load/TargetPool.java
@@ -0,0 +1,124 @@
+package org.arbutuslock.testbed.load;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Queue;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** Connections of one event loop to one target. Requests wait in order when all are busy. */
+final class TargetPool {
+    private static final int CONNECT_TIMEOUT_MILLIS = 5000;
+
+    private final EventLoop mLoop;
+    private final InetSocketAddress mTarget;
+    private final int mLimit;
+    private final BiConsumer<Exchange, LoadSample> mOnFinish;
+    private final Deque<LoadConnection> mIdle = new ArrayDeque<>();
+    private final Set<LoadConnection> mOpen = new HashSet<>();
+    private final Queue<Exchange> mWaiting = new ArrayDeque<>();
+
+    TargetPool(
+            EventLoop loop,
+            InetSocketAddress target,
+            int limit,
+            BiConsumer<Exchange, LoadSample> onFinish) {
+        mLoop = loop;
+        mTarget = target;
+        mLimit = limit;
+        mOnFinish = onFinish;
+    }
+
+    void submit(Exchange exchange) {
+        LoadConnection idle = mIdle.pollLast();
+        if (idle != null) {
+            idle.send(exchange);
+        } else if (mOpen.size() < mLimit) {
+            open(exchange);
+        } else {
+            mWaiting.add(exchange);
+        }
+    }
+
+    void release(LoadConnection connection) {
+        Exchange next = nextWaiting();
+        if (next == null) {
+            mIdle.addLast(connection);
+        } else {
+            connection.send(next);
+        }
+    }
+
+    void closed(LoadConnection connection) {
+        mOpen.remove(connection);
+        mIdle.remove(connection);
+        Exchange next = nextWaiting();
+        if (next != null) {
+            // A new connection is opened outside the closing one's callback.
+            mLoop.execute(() -> submit(next));
+        }
+    }
+
+    void finished(
+            Exchange exchange, LoadResult result, int status, String outcome, String requestId) {
+        if (!exchange.isFinished()) {
+            mOnFinish.accept(exchange, exchange.finish(result, status, outcome, requestId));
+        }
+    }
+
+    void timeOut(Exchange exchange) {
+        if (exchange.isFinished()) {
+            return;
+        }
+        finished(exchange, LoadResult.TIMED_OUT, 0, "", "");
+        if (exchange.connection() != null) {
+            exchange.connection().close();
+        }
+    }
+
+    void close() {
+        Set.copyOf(mOpen).forEach(LoadConnection::close);
+    }
+
+    private Exchange nextWaiting() {
+        Exchange next = mWaiting.poll();
+        while (next != null && next.isFinished()) {
+            next = mWaiting.poll();
+        }
+        return next;
+    }
+
+    private void open(Exchange exchange) {
+        LoadConnection connection = new LoadConnection(this, mTarget);
+        connection.setFirst(exchange);
+        mOpen.add(connection);
+        new Bootstrap()
+                .group(mLoop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline().addLast(new HttpClientCodec(), connection);
+                            }
+                        })
+                .connect(mTarget)
+                .addListener(
+                        opened -> {
+                            if (!opened.isSuccess()) {
+                                connection.failToOpen();
+                            }
+                        });
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load tool for loopback addresses. */
+package org.arbutuslock.testbed.load;
--- a/testbed/src/test/java/org/arbutuslock/testbed/store/StoreFaultsTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/store/StoreFaultsTest.java
@@ -108,7 +108,7 @@
     @Test
     public void should_apply_a_late_write_after_the_caller_gave_up() throws Exception {
         BlockingQueue<String> events = new LinkedBlockingQueue<>();
-        try (AutoCloseable watch = mClient.watch("a", 0, recordTo(events))) {
+        try (AutoCloseable _ = mClient.watch("a", 0, recordTo(events))) {
             waitForWatch();
             mServer.setFaults(
                     StoreFaults.newBuilder().setLateWriteShare(1).setLateWriteMillis(1500).build());
@@ -124,14 +124,14 @@
         int backup = mServer.store().takeBackup();
         assertTrue(create("b") instanceof WriteResult.Applied);
         BlockingQueue<String> events = new LinkedBlockingQueue<>();
-        try (AutoCloseable watch = mClient.watch("", 0, recordTo(events))) {
+        try (AutoCloseable _ = mClient.watch("", 0, recordTo(events))) {
             waitForWatch();
             mServer.store().restoreBackup(backup);
             assertTrue(events.poll(WAIT_SECONDS, TimeUnit.SECONDS).startsWith("ended ABORTED"));
         }
         assertTrue(read("b") instanceof ReadResult.Absent);
         assertEquals(mServer.store().storeRevision(), 1);
-        try (AutoCloseable watch = mClient.watch("", 2, recordTo(events))) {
+        try (AutoCloseable _ = mClient.watch("", 2, recordTo(events))) {
             assertTrue(
                     events.poll(WAIT_SECONDS, TimeUnit.SECONDS).startsWith("ended OUT_OF_RANGE"));
         }
@@ -156,7 +156,7 @@
             assertTrue(create(key) instanceof WriteResult.Applied);
         }
         BlockingQueue<String> events = new LinkedBlockingQueue<>();
-        try (AutoCloseable watch = mClient.watch("k/", 1, recordTo(events))) {
+        try (AutoCloseable _ = mClient.watch("k/", 1, recordTo(events))) {
             assertEquals(events.poll(WAIT_SECONDS, TimeUnit.SECONDS), "written k/2 3");
             assertEquals(events.poll(WAIT_SECONDS, TimeUnit.SECONDS), "written k/3 4");
             assertTrue(
