--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/execution/LedgerHistoryTest.java
@@ -0,0 +1,48 @@
+package org.arbutuslock.internal.execution;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+/** Guards against two dispatches of one request and against an untrue {@code not run}. */
+public class LedgerHistoryTest {
+    private static final long SEED = Long.getLong("arbutuslock.seed", 20_261_204L);
+    private static final int HISTORIES = 2_000;
+
+    private final ExecutorService mThreads = Executors.newFixedThreadPool(3);
+
+    @AfterClass
+    public void stopThreads() {
+        mThreads.shutdownNow();
+    }
+
+    private int countViolations(boolean fencing) throws Exception {
+        int violations = 0;
+        int promises = 0;
+        for (int history = 0; history < HISTORIES; history++) {
+            LedgerHistory run = new LedgerHistory(SEED + history, fencing);
+            violations += run.run(mThreads);
+            promises += run.notRunPromises();
+        }
+        System.out.printf(
+                "LedgerHistoryTest seed %d, fencing %b: %d histories, %d not-run, %d violations%n",
+                SEED, fencing, HISTORIES, promises, violations);
+        assertTrue(promises > HISTORIES, "too few not-run promises to check: " + promises);
+        return violations;
+    }
+
+    @Test
+    public void should_keep_promises_in_concurrent_histories() throws Exception {
+        assertEquals(countViolations(true), 0);
+    }
+
+    /** Guards against a history check that cannot fail. */
+    @Test
+    public void should_break_promises_without_fencing() throws Exception {
+        assertTrue(countViolations(false) > 0);
+    }
+}
