Run the ejection coordinators of local endpoints in the daemon

Cause: states of endpoints were fixed; departures were immediate. Change: one guard for each local endpoint, pledge messages over sessions, a departure notice of 2.5 s (last request within 3 s). Conclusion: endpoints start in STARTING and ramp up; detection follows.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -10,6 +10,7 @@
 import org.arbutuslock.api.PluginContext;
 import org.arbutuslock.api.PluginException;
 import org.arbutuslock.daemon.internal.configuration.ConfigurationPlugin;
+import org.arbutuslock.daemon.internal.ejection.EjectionPlugin;
 import org.arbutuslock.daemon.internal.fleet.FleetDirectory;
 import org.arbutuslock.daemon.internal.fleet.FleetPlugin;
 import org.arbutuslock.daemon.internal.home.HomePlugin;
@@ -34,8 +35,9 @@
     // A sixteenth of a link of 30 Mbit/s, so that 16 nodes of a region can use it at once.
     private static final long LINK_BYTES_PER_SECOND = 30_000_000 / 8 / 16;
     private static final Duration LINK_BURST = Duration.ofSeconds(5);
-    // Time for callers and other nodes to learn that this node is leaving.
-    private static final Duration NOTICE = Duration.ofSeconds(2);
+    // Time for callers and other nodes to learn that this node is leaving. Below the 3 s within
+    // which a leaving server must get no new work.
+    private static final Duration NOTICE = Duration.ofMillis(2_500);
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
 
     private CallerServer mServer;
@@ -56,6 +58,7 @@
         return Set.of(
                 FleetPlugin.NAME,
                 HomePlugin.NAME,
+                EjectionPlugin.NAME,
                 SessionsPlugin.NAME,
                 ConfigurationPlugin.NAME,
                 MetricsPlugin.NAME);
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EjectionPlugin.java
@@ -0,0 +1,91 @@
+package org.arbutuslock.daemon.internal.ejection;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.Plugin;
+import org.arbutuslock.api.PluginContext;
+import org.arbutuslock.api.PluginException;
+import org.arbutuslock.daemon.internal.configuration.ConfigurationPlugin;
+import org.arbutuslock.daemon.internal.fleet.FleetDirectory;
+import org.arbutuslock.daemon.internal.fleet.FleetPlugin;
+import org.arbutuslock.daemon.internal.home.HomePlugin;
+import org.arbutuslock.daemon.internal.home.LocalEndpoints;
+import org.arbutuslock.daemon.internal.sessions.ChannelMessages;
+import org.arbutuslock.daemon.internal.sessions.LocalNode;
+import org.arbutuslock.daemon.internal.sessions.PeerLinks;
+import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.ejection.EjectionSettings;
+import org.arbutuslock.internal.ejection.PledgeEnvelopeCodec;
+import org.arbutuslock.internal.messages.PeerMessage;
+
+/** Takes sick backend servers of this host out of service as far as the floor allows. */
+public final class EjectionPlugin implements Plugin {
+    /** Name of this plug-in. */
+    public static final String NAME = "ejection";
+
+    // Half a second below the 3 s within which a leaving server must get no new work, for the tick
+    // and for requests on their way.
+    private static final Duration DEPARTURE_NOTICE = Duration.ofMillis(2_500);
+
+    private EndpointGuards mGuards;
+    private Future<?> mTicks;
+
+    /** Creates the plug-in; called by the service loader. */
+    public EjectionPlugin() {}
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> requires() {
+        return Set.of(
+                HomePlugin.NAME, SessionsPlugin.NAME, FleetPlugin.NAME, ConfigurationPlugin.NAME);
+    }
+
+    @Override
+    public void start(PluginContext context) throws PluginException {
+        EventLoop eventLoop = context.require(EventLoopGroup.class).next();
+        LocalEndpoints endpoints = context.require(LocalEndpoints.class);
+        mGuards =
+                new EndpointGuards(
+                        eventLoop,
+                        context.require(Clock.class),
+                        EjectionSettings.standard().withDepartureNotice(DEPARTURE_NOTICE),
+                        context.require(LocalNode.class),
+                        endpoints,
+                        context.require(FleetDirectory.class)::current,
+                        context.require(ConfigurationHolder.class),
+                        context.require(PeerLinks.class));
+        context.require(ChannelMessages.class)
+                .listen(
+                        PeerMessage.Channel.PLEDGES,
+                        (node, payload, reply) ->
+                                mGuards.receive(PledgeEnvelopeCodec.decode(payload)));
+        endpoints.addListener(mGuards::changed);
+        mTicks =
+                eventLoop.scheduleWithFixedDelay(
+                        mGuards::tick,
+                        EndpointGuards.TICK_MILLIS,
+                        EndpointGuards.TICK_MILLIS,
+                        TimeUnit.MILLISECONDS);
+        context.provide(EndpointGuards.class, mGuards);
+    }
+
+    @Override
+    public void drain() {
+        mGuards.departAll();
+    }
+
+    @Override
+    public void stop() {
+        mTicks.cancel(false);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuard.java
@@ -0,0 +1,40 @@
+package org.arbutuslock.daemon.internal.ejection;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.internal.ejection.EjectionAction;
+import org.arbutuslock.internal.ejection.EjectionCoordinator;
+import org.arbutuslock.internal.ejection.EjectionSettings;
+
+/** Coordinator of one local endpoint with what the daemon keeps beside it. */
+final class EndpointGuard {
+    private final EndpointId mId;
+    private final EjectionCoordinator mCoordinator;
+    private boolean mDeparting;
+
+    EndpointGuard(EndpointId id, EjectionSettings settings, Clock clock, RandomGenerator random) {
+        mId = id;
+        // An endpoint that is announced again in the same run of the node is a new one.
+        long incarnation = clock.wallTimeMillis();
+        mCoordinator = new EjectionCoordinator(id, incarnation, settings, clock, random);
+    }
+
+    EndpointId id() {
+        return mId;
+    }
+
+    EjectionCoordinator coordinator() {
+        return mCoordinator;
+    }
+
+    List<EjectionAction> depart(String reason) {
+        mDeparting = true;
+        return mCoordinator.depart(reason);
+    }
+
+    boolean isDeparting() {
+        return mDeparting;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/package-info.java
@@ -0,0 +1,2 @@
+/** Connects detection and ejection of the kernel with the endpoints of this host. */
+package org.arbutuslock.daemon.internal.ejection;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
@@ -106,17 +106,18 @@
     }
 
     /**
-     * Starts the departure of a backend server: it gets no new work, and work in progress finishes.
+     * Starts the departure of a backend server. Listeners decide when it gets no new work and
+     * {@link #remove} it when its work is finished.
      *
      * @param backendServer name of the backend server
      * @return number of its endpoints
      */
-    public synchronized int depart(String backendServer) {
+    public int depart(String backendServer) {
         List<EndpointId> departing =
                 mEntries.keySet().stream()
                         .filter(id -> id.backendServer().equals(backendServer))
                         .toList();
-        departing.forEach(id -> remove(id, "announced its departure"));
+        departing.forEach(id -> notifyListeners(new Change.Departing(id)));
         return departing.size();
     }
 
@@ -133,8 +134,16 @@
         lapsed.forEach(id -> remove(id, "did not renew its announcement"));
     }
 
-    private void remove(EndpointId id, String reason) {
-        mEntries.remove(id);
+    /**
+     * Removes an endpoint. Requests in progress finish; queued ones are refused.
+     *
+     * @param id the endpoint
+     * @param reason why, for the log
+     */
+    public synchronized void remove(EndpointId id, String reason) {
+        if (mEntries.remove(id) == null) {
+            return;
+        }
         mHome.removeEndpoint(id);
         LOGGER.log(Event.ENDPOINT_LEFT, id, reason);
         notifyListeners(new Change.Left(id));
@@ -198,7 +207,7 @@
         mListeners.forEach(listener -> listener.changed(change));
     }
 
-    /** What changed. */
+    /** What changed or is about to change. */
     public sealed interface Change {
         /**
          * An endpoint is new or has a new address.
@@ -207,6 +216,13 @@
          */
         record Announced(EndpointId id) implements Change {}
 
+        /**
+         * A backend server has announced its departure.
+         *
+         * @param id the endpoint
+         */
+        record Departing(EndpointId id) implements Change {}
+
         /**
          * An endpoint is gone.
          *
@@ -236,7 +252,7 @@
     private static final class Entry {
         private final EndpointRuntime mRuntime;
         private volatile long mRenewedNanos;
-        private volatile EndpointState mState = EndpointState.IN_SERVICE;
+        private volatile EndpointState mState = EndpointState.STARTING;
         private volatile int mWeightPercent = WHOLE_PERCENT;
 
         private Entry(EndpointRuntime runtime, long nowNanos) {
--- a/kernel/src/main/java/org/arbutuslock/internal/ejection/EjectionSettings.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/ejection/EjectionSettings.java
@@ -47,6 +47,25 @@
                 Duration.ofSeconds(10));
     }
 
+    /**
+     * Changes the notice of a departure.
+     *
+     * @param notice time between the notice and its effect
+     * @return changed settings
+     */
+    public EjectionSettings withDepartureNotice(Duration notice) {
+        return new EjectionSettings(
+                pledgeDuration,
+                countedDuration,
+                renewalInterval,
+                replyTimeout,
+                notice,
+                firstBackoff,
+                longestBackoff,
+                trialDuration,
+                rampDuration);
+    }
+
     /**
      * Checks that the requester stops counting before the pledging side is released, even when
      * their clocks run at different rates.
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/ejection/PledgeEnvelopeCodec.java
@@ -0,0 +1,163 @@
+package org.arbutuslock.internal.ejection;
+
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.internal.messages.MessageFormatException;
+import org.arbutuslock.internal.messages.MessageReader;
+import org.arbutuslock.internal.messages.MessageWriter;
+
+/**
+ * Encodes pledge messages with MessagePack.
+ *
+ * <pre>{@code
+ * PledgeEnvelope envelope = PledgeEnvelopeCodec.decode(PledgeEnvelopeCodec.encode(sent));
+ * }</pre>
+ */
+public final class PledgeEnvelopeCodec {
+    private static final int ENVELOPE_FIELDS = 3;
+    private static final int MAXIMUM_NAME_BYTES = 255;
+    private static final int MAXIMUM_REASON_BYTES = 1_024;
+    private static final long MAXIMUM_DURATION_MILLIS = 3_600_000;
+
+    private PledgeEnvelopeCodec() {}
+
+    /**
+     * Encodes an envelope.
+     *
+     * @param envelope the envelope
+     * @return its bytes
+     */
+    public static byte[] encode(PledgeEnvelope envelope) {
+        MessageWriter writer = new MessageWriter().writeArrayHeader(ENVELOPE_FIELDS);
+        writeEndpoint(writer, envelope.destination());
+        switch (envelope.message()) {
+            case PledgeMessage.Request request -> writeRequest(writer, request);
+            case PledgeMessage.Reply reply -> writeReply(writer, reply);
+            case PledgeMessage.Release release -> {
+                writer.writeEnum(Type.RELEASE).writeArrayHeader(Type.RELEASE.mFields);
+                writeEndpoint(writer, release.requester());
+                writer.writeLong(release.requesterIncarnation()).writeLong(release.number());
+            }
+            case PledgeMessage.Revoked revoked -> writeRevoked(writer, revoked);
+        }
+        return writer.toBytes();
+    }
+
+    /**
+     * Decodes an envelope.
+     *
+     * @param encoded its bytes
+     * @return the envelope
+     * @throws MessageFormatException when the bytes are not exactly one envelope
+     */
+    public static PledgeEnvelope decode(byte[] encoded) throws MessageFormatException {
+        try (MessageReader reader = new MessageReader(encoded)) {
+            expectFields(reader, "pledgeEnvelope", ENVELOPE_FIELDS);
+            EndpointId destination = readEndpoint(reader);
+            Type type = reader.readEnum("type", Type.values());
+            expectFields(reader, "pledgeMessage", type.mFields);
+            PledgeMessage message = readMessage(reader, type);
+            reader.expectEnd();
+            return new PledgeEnvelope(destination, message);
+        }
+    }
+
+    private static void writeRequest(MessageWriter writer, PledgeMessage.Request request) {
+        writer.writeEnum(Type.REQUEST).writeArrayHeader(Type.REQUEST.mFields);
+        writeEndpoint(writer, request.requester());
+        writer.writeLong(request.requesterIncarnation())
+                .writeLong(request.number())
+                .writeLong(request.durationMillis());
+    }
+
+    private static void writeReply(MessageWriter writer, PledgeMessage.Reply reply) {
+        writer.writeEnum(Type.REPLY).writeArrayHeader(Type.REPLY.mFields);
+        writeEndpoint(writer, reply.pledger());
+        writer.writeLong(reply.pledgerIncarnation());
+        writeEndpoint(writer, reply.requester());
+        writer.writeLong(reply.requesterIncarnation())
+                .writeLong(reply.number())
+                .writeBoolean(reply.granted())
+                .writeString(reply.reason());
+    }
+
+    private static void writeRevoked(MessageWriter writer, PledgeMessage.Revoked revoked) {
+        writer.writeEnum(Type.REVOKED).writeArrayHeader(Type.REVOKED.mFields);
+        writeEndpoint(writer, revoked.pledger());
+        writer.writeLong(revoked.pledgerIncarnation());
+        writeEndpoint(writer, revoked.requester());
+        writer.writeLong(revoked.requesterIncarnation()).writeLong(revoked.number());
+    }
+
+    private static PledgeMessage readMessage(MessageReader reader, Type type)
+            throws MessageFormatException {
+        return switch (type) {
+            case REQUEST ->
+                    new PledgeMessage.Request(
+                            readEndpoint(reader),
+                            readNumber(reader, "requesterIncarnation"),
+                            readNumber(reader, "number"),
+                            reader.readLong("durationMillis", 0, MAXIMUM_DURATION_MILLIS));
+            case REPLY ->
+                    new PledgeMessage.Reply(
+                            readEndpoint(reader),
+                            readNumber(reader, "pledgerIncarnation"),
+                            readEndpoint(reader),
+                            readNumber(reader, "requesterIncarnation"),
+                            readNumber(reader, "number"),
+                            reader.readBoolean("granted"),
+                            reader.readString("reason", MAXIMUM_REASON_BYTES));
+            case RELEASE ->
+                    new PledgeMessage.Release(
+                            readEndpoint(reader),
+                            readNumber(reader, "requesterIncarnation"),
+                            readNumber(reader, "number"));
+            case REVOKED ->
+                    new PledgeMessage.Revoked(
+                            readEndpoint(reader),
+                            readNumber(reader, "pledgerIncarnation"),
+                            readEndpoint(reader),
+                            readNumber(reader, "requesterIncarnation"),
+                            readNumber(reader, "number"));
+        };
+    }
+
+    private static void writeEndpoint(MessageWriter writer, EndpointId endpoint) {
+        writer.writeArrayHeader(2)
+                .writeString(endpoint.service())
+                .writeString(endpoint.backendServer());
+    }
+
+    private static EndpointId readEndpoint(MessageReader reader) throws MessageFormatException {
+        expectFields(reader, "endpoint", 2);
+        return new EndpointId(
+                reader.readString("service", MAXIMUM_NAME_BYTES),
+                reader.readString("backendServer", MAXIMUM_NAME_BYTES));
+    }
+
+    private static long readNumber(MessageReader reader, String field)
+            throws MessageFormatException {
+        return reader.readLong(field, Long.MIN_VALUE, Long.MAX_VALUE);
+    }
+
+    private static void expectFields(MessageReader reader, String field, int expected)
+            throws MessageFormatException {
+        int fields = reader.readArrayHeader(field, expected);
+        if (fields != expected) {
+            throw reader.problem(field, fields + " fields, allowed " + expected);
+        }
+    }
+
+    /** Types on the wire; the order is part of the protocol. */
+    private enum Type {
+        REQUEST(4),
+        REPLY(7),
+        RELEASE(3),
+        REVOKED(5);
+
+        private final int mFields;
+
+        Type(int fields) {
+            mFields = fields;
+        }
+    }
+}
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -44,6 +44,8 @@
     ENDPOINT_ANNOUNCED(4001, Level.INFO, "endpoint {0} announced at {1} with {2} slots"),
     /** A backend server left or its announcement lapsed. */
     ENDPOINT_LEFT(4002, Level.INFO, "endpoint {0} {1}"),
+    /** An endpoint entered another state. */
+    ENDPOINT_STATE_CHANGED(5001, Level.INFO, "endpoint {0} {1} -> {2}: {3}; {4}"),
     /** A node was added to the fleet. */
     NODE_JOINED(6001, Level.INFO, "node {0} incarnation {1} joined at {2}"),
     /** A node was removed from the fleet. */
