Add gRPC server for operators with mutual TLS and roles

Operators' calls need one guarded entrance to the node. OperatorsServer listens on a loopback address without TLS, or anywhere with mutual TLS; the common name of the client's certificate gives the role, and every method that is not listed as reading needs the role operator. With TLS the author of a change is the certificate's name, not the claimed one.

Requests are checked before they reach OperatorsBackend; a refusal names every wrong field with value and what is allowed. TLS files are read again every 5 s with the managers of grpc-util. A key that does not belong to the certificate is rejected, since the two files of a renewal are written one after the other. Resumption of TLS sessions is limited to 5 s, because a resumed session is not checked against changed authorities.

The tests make throw-away certificates with the JDK's keytool.

--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/CallerIdentity.java
@@ -0,0 +1,37 @@
+package org.arbutuslock.daemon.internal.operators;
+
+import io.grpc.Context;
+import java.security.cert.Certificate;
+import java.security.cert.X509Certificate;
+import java.util.Optional;
+import javax.naming.InvalidNameException;
+import javax.naming.ldap.LdapName;
+import javax.naming.ldap.Rdn;
+import javax.net.ssl.SSLPeerUnverifiedException;
+import javax.net.ssl.SSLSession;
+
+/** The authenticated name of the operator who makes a call. */
+final class CallerIdentity {
+    /** Common name of the certificate; null for connections without TLS. */
+    static final Context.Key<String> NAME = Context.key("operator-name");
+
+    private CallerIdentity() {}
+
+    /** Returns the common name of the client's certificate. */
+    static Optional<String> commonNameOf(SSLSession session) {
+        try {
+            Certificate[] chain = session.getPeerCertificates();
+            if (chain.length == 0 || !(chain[0] instanceof X509Certificate certificate)) {
+                return Optional.empty();
+            }
+            return new LdapName(certificate.getSubjectX500Principal().getName())
+                    .getRdns().stream()
+                            .filter(part -> part.getType().equalsIgnoreCase("CN"))
+                            .map(Rdn::getValue)
+                            .map(String::valueOf)
+                            .findFirst();
+        } catch (SSLPeerUnverifiedException | InvalidNameException unnamed) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OperatorsServer.java
@@ -0,0 +1,175 @@
+package org.arbutuslock.daemon.internal.operators;
+
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.GeneralSecurityException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Result;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.settings.NodeSettings;
+
+/**
+ * Serves operators over gRPC: with mutual TLS and roles, or without TLS on a loopback address.
+ *
+ * <pre>{@code
+ * Result<OperatorsServer> result =
+ *         OperatorsServer.start(settings.operators().address(), settings.tls(), backend);
+ * }</pre>
+ */
+public final class OperatorsServer {
+    private static final int MAXIMUM_MESSAGE_BYTES = 4 << 20;
+    private static final int MAXIMUM_METADATA_BYTES = 16 << 10;
+    private static final int MAXIMUM_CALLS_PER_CONNECTION = 64;
+    private static final int THREADS = 4;
+    private static final long HANDSHAKE_SECONDS = 10;
+    private static final long IDLE_MINUTES = 10;
+
+    /** Bounds how long a connection outlives the certificate that it was opened with. */
+    private static final long MAXIMUM_CONNECTION_MINUTES = 60;
+
+    private static final long RELOAD_PERIOD_SECONDS = 5;
+
+    private final Server mServer;
+    private final ExecutorService mExecutor;
+    private final ScheduledExecutorService mScheduler;
+    private final Optional<ReloadingTls> mTls;
+
+    private OperatorsServer(
+            Server server,
+            ExecutorService executor,
+            ScheduledExecutorService scheduler,
+            Optional<ReloadingTls> tls) {
+        mServer = server;
+        mExecutor = executor;
+        mScheduler = scheduler;
+        mTls = tls;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address address to listen on; a loopback address unless TLS is configured
+     * @param tls files and roles, or empty for no TLS
+     * @param backend does the work
+     * @return the running server, or why it cannot run
+     */
+    public static Result<OperatorsServer> start(
+            InetSocketAddress address, Optional<NodeSettings.Tls> tls, OperatorsBackend backend) {
+        if (tls.isEmpty() && !address.getAddress().isLoopbackAddress()) {
+            return Result.failed(
+                    "listen for operators",
+                    address.toString(),
+                    "without tls only a loopback address is allowed; set tls or another address");
+        }
+        EventLogger logger = EventLogger.forComponent("operators");
+        Optional<ReloadingTls> certificates = Optional.empty();
+        try {
+            if (tls.isPresent()) {
+                certificates = Optional.of(ReloadingTls.load(tls.get(), logger));
+            }
+            return Result.success(listen(address, tls, certificates, backend, logger));
+        } catch (GeneralSecurityException unusable) {
+            return Result.failed(
+                    "load tls files",
+                    address.toString(),
+                    unusable.getMessage() + "; correct the files that tls names");
+        } catch (IOException failed) {
+            return Result.failed(
+                    "listen for operators",
+                    address.toString(),
+                    describe(failed) + "; check operators.address and the files that tls names");
+        }
+    }
+
+    private static OperatorsServer listen(
+            InetSocketAddress address,
+            Optional<NodeSettings.Tls> tls,
+            Optional<ReloadingTls> certificates,
+            OperatorsBackend backend,
+            EventLogger logger)
+            throws IOException {
+        ExecutorService executor =
+                Executors.newFixedThreadPool(
+                        THREADS, Thread.ofPlatform().daemon().name("operators-", 0).factory());
+        ScheduledExecutorService scheduler =
+                Executors.newSingleThreadScheduledExecutor(
+                        Thread.ofPlatform().daemon().name("operators-timer").factory());
+        NettyServerBuilder builder =
+                NettyServerBuilder.forAddress(address)
+                        .executor(executor)
+                        .maxInboundMessageSize(MAXIMUM_MESSAGE_BYTES)
+                        .maxInboundMetadataSize(MAXIMUM_METADATA_BYTES)
+                        .maxConcurrentCallsPerConnection(MAXIMUM_CALLS_PER_CONNECTION)
+                        .handshakeTimeout(HANDSHAKE_SECONDS, TimeUnit.SECONDS)
+                        .maxConnectionIdle(IDLE_MINUTES, TimeUnit.MINUTES)
+                        .maxConnectionAge(MAXIMUM_CONNECTION_MINUTES, TimeUnit.MINUTES)
+                        .addService(new OperatorsService(backend, scheduler, logger));
+        try {
+            if (certificates.isPresent()) {
+                builder.sslContext(certificates.get().createServerContext())
+                        .intercept(new RoleInterceptor(tls.orElseThrow().roles(), logger));
+            }
+            Server server = builder.build().start();
+            certificates.ifPresent(files -> scheduleReload(files, scheduler));
+            logger.log(Event.OPERATORS_LISTENING, server.getListenSockets(), tls.isPresent());
+            return new OperatorsServer(server, executor, scheduler, certificates);
+        } catch (IOException failed) {
+            executor.shutdownNow();
+            scheduler.shutdownNow();
+            throw failed;
+        }
+    }
+
+    /**
+     * Returns the port that the server listens on.
+     *
+     * @return the port, also when the address named port 0
+     */
+    public int port() {
+        return mServer.getPort();
+    }
+
+    /** Loads the TLS files now if they have changed, instead of within the next 5 s. */
+    public void reloadTlsFiles() {
+        mTls.ifPresent(ReloadingTls::reloadIfChanged);
+    }
+
+    /**
+     * Stops accepting calls, waits for the calls in progress and cancels those that remain.
+     *
+     * @param grace longest time to wait
+     */
+    public void stop(Duration grace) {
+        mServer.shutdown();
+        try {
+            if (!mServer.awaitTermination(grace.toMillis(), TimeUnit.MILLISECONDS)) {
+                mServer.shutdownNow();
+            }
+        } catch (InterruptedException interrupted) {
+            mServer.shutdownNow();
+            Thread.currentThread().interrupt();
+        }
+        mScheduler.shutdownNow();
+        mExecutor.shutdown();
+    }
+
+    private static void scheduleReload(ReloadingTls files, ScheduledExecutorService scheduler) {
+        scheduler.scheduleWithFixedDelay(
+                files::reloadIfChanged,
+                RELOAD_PERIOD_SECONDS,
+                RELOAD_PERIOD_SECONDS,
+                TimeUnit.SECONDS);
+    }
+
+    private static String describe(IOException failed) {
+        return failed.getCause() == null ? failed.toString() : failed.getCause().toString();
+    }
+}
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -17,7 +17,19 @@
     /** The process ends. */
     NODE_STOPPED(1004, Level.INFO, "node {0} stopped"),
     /** The node cannot start. */
-    START_FAILED(1005, Level.ERROR, "start failed: {0}");
+    START_FAILED(1005, Level.ERROR, "start failed: {0}"),
+    /** The operators' service accepts calls. */
+    OPERATORS_LISTENING(8001, Level.INFO, "operators can call {0}; mutual TLS: {1}"),
+    /** Changed certificates are in use for new connections. */
+    OPERATOR_TLS_RELOADED(8002, Level.INFO, "certificates reloaded from {0}, {1} and {2}"),
+    /** Changed certificates cannot be used; the earlier ones stay in use. */
+    OPERATOR_TLS_REJECTED(8003, Level.WARNING, "changed certificates rejected: {0}"),
+    /** An operator called a method that changes something. */
+    OPERATOR_CALL(8004, Level.INFO, "operator {0} called {1}"),
+    /** A call was refused because of the role of the caller. */
+    OPERATOR_CALL_DENIED(8005, Level.WARNING, "call of {0} denied: {1}"),
+    /** A call failed because of a fault in the node. */
+    OPERATOR_CALL_FAILED(8006, Level.ERROR, "call of {0} failed: {1}");
 
     private final int mNumber;
     private final Level mLevel;
