Show only the first line of a gRPC failure in the tool

gRPC appends the state of its channel pipeline to TLS failures in further lines, which hid the advice at the end of the message. The tool now prints the first line of the description and the root cause.

--- a/cli/src/main/java/org/arbutuslock/cli/internal/OperatorsClient.java
+++ b/cli/src/main/java/org/arbutuslock/cli/internal/OperatorsClient.java
@@ -52,7 +52,10 @@
 
     CommandException describe(String step, Status status) {
         String cause = status.getCause() == null ? "" : " (" + rootMessage(status.getCause()) + ")";
-        String reason = status.getDescription() == null ? "" : ": " + status.getDescription();
+        String description = status.getDescription();
+        // gRPC appends the state of its channel in further lines.
+        String reason =
+                description == null ? "" : ": " + description.lines().findFirst().orElse("");
         return new CommandException(
                 exitCodeOf(status.getCode()),
                 step + " failed at " + mAddress + reason + cause + "; " + advice(status.getCode()));
