--- a/kernel/src/main/java/org/arbutuslock/internal/retry/RetryBudget.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/retry/RetryBudget.java
@@ -82,7 +82,7 @@
     private State advance(State state) {
         long bucket = (mClock.nanoTime() - mStartNanos) / mBucketNanos;
         // Another thread may have read a later time.
-        int steps = (int) Math.clamp(bucket - state.bucket(), 0, BUCKETS);
+        int steps = Math.clamp(bucket - state.bucket(), 0, BUCKETS);
         return steps == 0
                 ? state
                 : new State(
