Complete a backend server's drain after its socket is closed

should_announce_itself_and_finish_its_work_when_it_departs failed in 1 of 2 runs of bin/test: a connection was accepted after the drain had completed. NIO keeps the socket of a closed listener until the next select.

--- a/testbed/src/main/java/org/arbutuslock/testbed/backend/BackendServer.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/backend/BackendServer.java
@@ -34,6 +34,7 @@
 public final class BackendServer implements AutoCloseable {
     private static final int MAXIMUM_BODY_BYTES = 1 << 20;
     private static final long DRAIN_CHECK_MILLIS = 50;
+    private static final long SELECT_DELAY_MILLIS = 10;
     private static final int BACKLOG = 1024;
 
     private final BackendState mState;
@@ -147,8 +148,10 @@
         long lastBusyNanos = idle ? busyNanos : now;
         if (now - lastBusyNanos >= quiet.toNanos() || now - limitNanos >= 0) {
             mAnnouncer.ifPresent(Announcer::close);
-            mListener.close();
-            mConnections.close().addListener(done -> drained.complete(idle));
+            mListener
+                    .close()
+                    .addListener(closed -> mConnections.close())
+                    .addListener(closed -> completeAfterSelect(drained, idle));
             return;
         }
         mLoop.schedule(
@@ -157,6 +160,12 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void completeAfterSelect(CompletableFuture<Boolean> drained, boolean idle) {
+        // NIO keeps the socket of a closed listener until the next select, and the kernel accepts
+        // connections until then. A timer runs only after a select.
+        mLoop.schedule(() -> drained.complete(idle), SELECT_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private Channel listen(int port) {
         BackendControl control = new BackendControl(mState);
         return new ServerBootstrap()
