--- a/testbed/src/test/java/org/arbutuslock/testbed/store/StoreFaultsTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/store/StoreFaultsTest.java
@@ -3,8 +3,12 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.grpc.BindableService;
 import io.grpc.ManagedChannel;
+import io.grpc.Server;
 import io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.NettyServerBuilder;
+import io.grpc.stub.StreamObserver;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -13,6 +17,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.arbutuslock.api.Clock;
@@ -26,8 +31,13 @@
 import org.arbutuslock.api.store.WriteResult;
 import org.arbutuslock.daemon.internal.store.GrpcPlatformStore;
 import org.arbutuslock.daemon.internal.store.StoreClientSettings;
+import org.arbutuslock.platform.v1.KeyValueStoreGrpc;
+import org.arbutuslock.platform.v1.ReadRequest;
+import org.arbutuslock.platform.v1.ReadResponse;
 import org.arbutuslock.platform.v1.StoreControlGrpc;
 import org.arbutuslock.platform.v1.StoreFaults;
+import org.arbutuslock.platform.v1.WatchRequest;
+import org.arbutuslock.platform.v1.WatchResponse;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -228,7 +238,56 @@
         assertTrue(create("a") instanceof WriteResult.Applied);
     }
 
+    @Test
+    public void should_end_a_silent_watch_and_replace_its_connection() throws Exception {
+        ManualClock clock = new ManualClock();
+        BlockingQueue<String> events = new LinkedBlockingQueue<>();
+        CountDownLatch watched = new CountDownLatch(1);
+        Server silent =
+                NettyServerBuilder.forAddress(
+                                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                        .addService(silentStore(watched))
+                        .build()
+                        .start();
+        InetSocketAddress address = (InetSocketAddress) silent.getListenSockets().getFirst();
+        try (PlatformStore client = connect(address, clock);
+                AutoCloseable _ = client.watch("a", 0, recordTo(events))) {
+            assertTrue(watched.await(WAIT_SECONDS, TimeUnit.SECONDS));
+            clock.advance(Duration.ofSeconds(6));
+            assertEquals(
+                    events.poll(WAIT_SECONDS, TimeUnit.SECONDS), "ended no message for 5000 ms");
+            assertTrue(
+                    client.read("a").get(WAIT_SECONDS, TimeUnit.SECONDS)
+                            instanceof ReadResult.Unavailable);
+            clock.advance(Duration.ofSeconds(1));
+            assertTrue(
+                    client.read("a").get(WAIT_SECONDS, TimeUnit.SECONDS)
+                            instanceof ReadResult.Absent);
+        } finally {
+            silent.shutdownNow();
+        }
+    }
+
+    private static BindableService silentStore(CountDownLatch watched) {
+        return new KeyValueStoreGrpc.KeyValueStoreImplBase() {
+            @Override
+            public void watch(WatchRequest request, StreamObserver<WatchResponse> observer) {
+                watched.countDown();
+            }
+
+            @Override
+            public void read(ReadRequest request, StreamObserver<ReadResponse> observer) {
+                observer.onNext(ReadResponse.getDefaultInstance());
+                observer.onCompleted();
+            }
+        };
+    }
+
     private static PlatformStore connect(InetSocketAddress address) {
+        return connect(address, Clock.system());
+    }
+
+    private static PlatformStore connect(InetSocketAddress address, Clock clock) {
         StoreClientSettings settings =
                 new StoreClientSettings(
                         address,
@@ -237,7 +296,7 @@
                         Duration.ofMillis(20),
                         Duration.ofMillis(100),
                         Duration.ofSeconds(5));
-        return new GrpcPlatformStore(settings, Clock.system(), new SplittableRandom(SEED));
+        return new GrpcPlatformStore(settings, clock, new SplittableRandom(SEED));
     }
 
     private WriteResult create(String key) throws Exception {
