--- a/testbed/src/main/java/org/arbutuslock/testbed/load/LoadConnection.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/load/LoadConnection.java
@@ -57,12 +57,12 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mContext = context;
-        if (mExchange.isFinished()) {
-            mExchange = null;
-            mPool.release(this);
-        } else {
+        if (mExchange != null && !mExchange.isFinished()) {
             writeRequest();
+            return;
         }
+        mExchange = null;
+        mPool.release(this);
     }
 
     @Override
--- a/testbed/src/main/java/org/arbutuslock/testbed/load/LoadGenerator.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/load/LoadGenerator.java
@@ -11,7 +11,9 @@
 
 /**
  * Runs load plans. Arrival times are fixed in advance and never wait for a response; latency counts
- * from the intended send time.
+ * from the intended send time. All connections are opened before the first arrival. The first
+ * second of a process still includes the loading of classes, so that a measurement uses its first
+ * step as warm-up and reads the later ones.
  *
  * <pre>{@code
  * LoadReport report = LoadGenerator.run(plan, sample -> {});
@@ -51,6 +53,9 @@
         for (int index = 0; index < plan.threads(); index++) {
             workers.add(new LoadWorker(plan, group.next(), listener));
         }
+        for (LoadWorker worker : workers) {
+            worker.openConnections();
+        }
         pace(plan, workers);
         LoadReport report = new LoadReport(plan);
         for (LoadWorker worker : workers) {
--- a/testbed/src/main/java/org/arbutuslock/testbed/load/LoadReport.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/load/LoadReport.java
@@ -18,11 +18,12 @@
  */
 public final class LoadReport {
     private static final double MICROS_PER_MILLI = 1000;
+    private static final int SIGNIFICANT_DIGITS = 3;
     private static final double[] PERCENTILES = {50, 90, 99, 99.9};
 
     private final LoadPlan mPlan;
     private final List<List<KindReport>> mSteps = new ArrayList<>();
-    private final Histogram mSendDelayMicros = new Histogram(3);
+    private final List<Histogram> mSendDelayMicros = new ArrayList<>();
 
     LoadReport(LoadPlan plan) {
         mPlan = plan;
@@ -30,6 +31,7 @@
             List<KindReport> kinds = new ArrayList<>();
             plan.kinds().forEach(kind -> kinds.add(new KindReport()));
             mSteps.add(kinds);
+            mSendDelayMicros.add(new Histogram(SIGNIFICANT_DIGITS));
         }
     }
 
@@ -37,8 +39,8 @@
         mSteps.get(arrival.step()).get(arrival.kind()).add(sample);
     }
 
-    void addSendDelay(long micros) {
-        mSendDelayMicros.recordValue(Math.max(0, micros));
+    void addSendDelay(Arrival arrival, long micros) {
+        mSendDelayMicros.get(arrival.step()).recordValue(Math.max(0, micros));
     }
 
     void add(LoadReport other) {
@@ -46,8 +48,8 @@
             for (int kind = 0; kind < mPlan.kinds().size(); kind++) {
                 mSteps.get(step).get(kind).add(other.mSteps.get(step).get(kind));
             }
+            mSendDelayMicros.get(step).add(other.mSendDelayMicros.get(step));
         }
-        mSendDelayMicros.add(other.mSendDelayMicros);
     }
 
     /**
@@ -89,10 +91,11 @@
      * Returns how late the tool itself was: the time from the intended send time until a request
      * was handed to the pool of connections. Latencies include it.
      *
+     * @param step index of the step
      * @return microseconds
      */
-    public Histogram sendDelayMicros() {
-        return mSendDelayMicros;
+    public Histogram sendDelayMicros(int step) {
+        return mSendDelayMicros.get(step);
     }
 
     /**
@@ -128,12 +131,17 @@
         table.append(toLine("all", "all", total()));
         table.append("statuses ").append(total().statuses());
         table.append(" outcomes ").append(total().outcomes());
-        table.append(
-                String.format(
-                        Locale.ROOT,
-                        " send delay p99 %.3f ms max %.3f ms%n",
-                        mSendDelayMicros.getValueAtPercentile(99) / MICROS_PER_MILLI,
-                        mSendDelayMicros.getMaxValue() / MICROS_PER_MILLI));
+        table.append(System.lineSeparator());
+        for (int step = 0; step < mSteps.size(); step++) {
+            Histogram delay = mSendDelayMicros.get(step);
+            table.append(
+                    String.format(
+                            Locale.ROOT,
+                            "step %d send delay p99 %.3f ms max %.3f ms%n",
+                            step,
+                            delay.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                            delay.getMaxValue() / MICROS_PER_MILLI));
+        }
         return table.toString();
     }
 
@@ -158,7 +166,7 @@
         fields.put("seed", mPlan.seed());
         fields.put("rows", rows);
         fields.put("total", toFields(total()));
-        fields.put("sendDelay", toFields(mSendDelayMicros));
+        fields.put("sendDelay", mSendDelayMicros.stream().map(LoadReport::toFields).toList());
         try {
             return new ObjectMapper().writeValueAsString(fields);
         } catch (JsonProcessingException e) {
--- a/testbed/src/main/java/org/arbutuslock/testbed/load/LoadWorker.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/load/LoadWorker.java
@@ -32,6 +32,13 @@
                         .toList();
     }
 
+    /** Opens all connections and returns when each of them is open or has failed. */
+    void openConnections() throws InterruptedException {
+        CountDownLatch opened = new CountDownLatch(mPools.size());
+        mLoop.execute(() -> mPools.forEach(pool -> pool.openAll(opened::countDown)));
+        opened.await();
+    }
+
     /** Sets the time to which all arrivals are relative. Called before the first arrival. */
     void start(long startNanos) {
         mStartNanos = startNanos;
@@ -67,7 +74,7 @@
     private void submit(Arrival arrival) {
         long intendedAt = mStartNanos + arrival.intendedNanos();
         long now = System.nanoTime();
-        mReport.addSendDelay((now - intendedAt) / NANOS_PER_MICRO);
+        mReport.addSendDelay(arrival, (now - intendedAt) / NANOS_PER_MICRO);
         Exchange exchange = new Exchange(arrival, mPlan.kinds().get(arrival.kind()), intendedAt);
         TargetPool pool = mPools.get((int) (arrival.sequence() % mPools.size()));
         long remaining = intendedAt + mPlan.timeout().toNanos() - now;
--- a/testbed/src/main/java/org/arbutuslock/testbed/load/TargetPool.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/load/TargetPool.java
@@ -1,6 +1,7 @@
 package org.arbutuslock.testbed.load;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -38,12 +39,29 @@
         mOnFinish = onFinish;
     }
 
+    /** Opens all connections, so that the first requests do not pay for them. */
+    void openAll(Runnable onDone) {
+        int[] remaining = {mLimit};
+        for (int index = 0; index < mLimit; index++) {
+            open(new LoadConnection(this, mTarget))
+                    .addListener(
+                            opened -> {
+                                remaining[0]--;
+                                if (remaining[0] == 0) {
+                                    onDone.run();
+                                }
+                            });
+        }
+    }
+
     void submit(Exchange exchange) {
         LoadConnection idle = mIdle.pollLast();
         if (idle != null) {
             idle.send(exchange);
         } else if (mOpen.size() < mLimit) {
-            open(exchange);
+            LoadConnection connection = new LoadConnection(this, mTarget);
+            connection.setFirst(exchange);
+            open(connection);
         } else {
             mWaiting.add(exchange);
         }
@@ -97,11 +115,9 @@
         return next;
     }
 
-    private void open(Exchange exchange) {
-        LoadConnection connection = new LoadConnection(this, mTarget);
-        connection.setFirst(exchange);
+    private ChannelFuture open(LoadConnection connection) {
         mOpen.add(connection);
-        new Bootstrap()
+        return new Bootstrap()
                 .group(mLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
