Keep a session open when a withdrawn request expires

Cause: a caller that hangs up never acknowledges; after the retention of 120 s the ledger fenced its session, on which all other callers of that entry node depend (found by reading; the local session would never have reopened). Change: a withdrawn request is marked and expires without fencing. Ruled out: acknowledging at withdrawal, since the outcome may still be asked.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -219,6 +219,7 @@
             return;
         }
         mDetached = true;
+        mRecord.abandon();
         if (mConnection == null) {
             cancelUndispatched();
         } else if (mRequest.idempotent()) {
--- a/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionLedger.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionLedger.java
@@ -218,7 +218,8 @@
         ExecutionRecord oldest = mFinished.peek();
         while (oldest != null && oldest.finishedSecond() <= oldestKept) {
             mFinished.poll();
-            if (!oldest.isAcknowledged() && fenceSession(oldest.session())) {
+            boolean expected = !oldest.isAcknowledged() && !oldest.isAbandoned();
+            if (expected && fenceSession(oldest.session())) {
                 fenced.add(oldest.session());
             }
             forget(oldest);
@@ -233,6 +234,7 @@
         boolean removable =
                 oldest != null
                         && (oldest.isAcknowledged()
+                                || oldest.isAbandoned()
                                 || !mOpenSessions.containsKey(oldest.session()));
         if (removable) {
             mFinished.poll();
--- a/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionRecord.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionRecord.java
@@ -26,6 +26,7 @@
     private volatile Object mState = ExecutionState.QUEUED;
     private volatile int mFinishedSecond;
     private volatile boolean mAcknowledged;
+    private volatile boolean mAbandoned;
 
     ExecutionRecord(RequestId id, long session, ExecutionLedger ledger) {
         mId = id;
@@ -162,6 +163,18 @@
         return mAcknowledged;
     }
 
+    /**
+     * Notes that the entry node has withdrawn the request and will not acknowledge its outcome. The
+     * record and a kept response remain for the retention time.
+     */
+    public void abandon() {
+        mAbandoned = true;
+    }
+
+    boolean isAbandoned() {
+        return mAbandoned;
+    }
+
     /** Marks a finished record as acknowledged; returns the kept response to release, or null. */
     KeptResponse acknowledge() {
         mAcknowledged = true;
--- a/kernel/src/test/java/org/arbutuslock/internal/execution/ExecutionLedgerTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/execution/ExecutionLedgerTest.java
@@ -41,6 +41,20 @@
         assertEquals(record.refusalReason(), Optional.of(RefusalReason.QUERIED));
     }
 
+    /** Guards against a caller that hangs up and so ends the session for all other callers. */
+    @Test
+    public void should_keep_session_open_when_withdrawn_request_expires() {
+        ExecutionLedger ledger = createLedger(10);
+        long session = ledger.openSession();
+        ExecutionRecord record = admit(ledger, session, 1);
+        record.abandon();
+        record.refuse(RefusalReason.CANCELLED);
+        mClock.advance(Duration.ofSeconds(121));
+        assertEquals(ledger.expire(), List.of());
+        assertEquals(ledger.recordCount(), 0);
+        assertEquals(ledger.admit(session, id(1)), new AdmitResult.Forgotten());
+    }
+
     /** Guards against a late copy that runs after its absence was reported as not run. */
     @Test
     public void should_drop_late_copy_on_fenced_session() {
