--- a/testbed/src/test/java/org/arbutuslock/testbed/fleet/RequestPathTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/fleet/RequestPathTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -86,8 +87,7 @@
     @Test
     public void should_answer_a_malformed_request_with_the_reason() throws Exception {
         InetSocketAddress address = mFleet.settings("calgary-a-1").callers().address();
-        try (java.net.Socket socket =
-                new java.net.Socket(address.getAddress(), address.getPort())) {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.getOutputStream().write(bytes("GET / HTTP/1.1\r\nbad header\r\n\r\n"));
             String response = new String(socket.getInputStream().readAllBytes());
             assertTrue(response.startsWith("HTTP/1.1 400"), response);
@@ -95,6 +95,20 @@
         }
     }
 
+    @Test
+    public void should_close_only_the_session_with_a_malformed_frame() throws Exception {
+        InetSocketAddress peers = mFleet.settings("calgary-a-2").peers().address();
+        byte[] claimsTwoGigabytes = {0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 1};
+        byte[] notAnArray = {0, 0, 0, 1, (byte) 0xc1};
+        for (byte[] malformed : List.of(claimsTwoGigabytes, notAnArray)) {
+            try (Socket socket = new Socket(peers.getAddress(), peers.getPort())) {
+                socket.getOutputStream().write(malformed);
+                assertEquals(socket.getInputStream().read(), -1);
+            }
+        }
+        assertEquals(send("POST", "/orders", "1 cell").statusCode(), 200);
+    }
+
     private HttpResponse<byte[]> sendUnchecked(String method, String path, String body) {
         try {
             return send(method, path, body);
