Serve operators from a running node

Cause: the operators' service had no backend, so that no node could take a change, list the configuration or report its status.

Change: NodeOperatorsBackend answers from the change log, the configuration in force, the fleet's records and the local ejection coordinators; OperatorsPlugin starts the server. Changes keep the operator's own id and the restored revision (format 2; format 1 is still read). MonitoredStore counts calls and remembers whether the newest one got a response. Backend servers of other nodes are named with their home node; asking that node follows.

ConfigurationChangeCodecTest expected the array length "8 to 8" in an error text; a change has 8 to 10 fields now. The check is as strict: the length is refused before memory is taken.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationPlugin.java
@@ -14,6 +14,7 @@
 import org.arbutuslock.api.store.PlatformStore;
 import org.arbutuslock.daemon.internal.eventloops.EventLoopsPlugin;
 import org.arbutuslock.daemon.internal.store.GrpcPlatformStore;
+import org.arbutuslock.daemon.internal.store.MonitoredStore;
 import org.arbutuslock.daemon.internal.store.StoreClientSettings;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.configuration.ConfigurationLog;
@@ -24,7 +25,7 @@
     /** Name of this plug-in. */
     public static final String NAME = "configuration";
 
-    private PlatformStore mStore;
+    private MonitoredStore mStore;
     private AutoCloseable mFollower;
 
     /** Creates the plug-in; called by the service loader. */
@@ -47,8 +48,12 @@
         // Jitter only; nothing that a check depends on is decided by it.
         RandomGenerator jitter = () -> ThreadLocalRandom.current().nextLong();
         mStore =
-                new GrpcPlatformStore(
-                        clientSettings(context.require(NodeSettings.class).store()), clock, jitter);
+                new MonitoredStore(
+                        new GrpcPlatformStore(
+                                clientSettings(context.require(NodeSettings.class).store()),
+                                clock,
+                                jitter),
+                        clock);
         ConfigurationHolder holder = new ConfigurationHolder();
         ConfigurationLog log =
                 new ConfigurationLog(
@@ -60,6 +65,7 @@
                         jitter);
         mFollower = log.follow();
         context.provide(PlatformStore.class, mStore);
+        context.provide(MonitoredStore.class, mStore);
         context.provide(ConfigurationHolder.class, holder);
         context.provide(ConfigurationLog.class, log);
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
@@ -235,6 +235,15 @@
             mGuard = guard;
         }
 
+        /**
+         * Names the endpoint.
+         *
+         * @return the endpoint
+         */
+        public EndpointId id() {
+            return mGuard.id();
+        }
+
         /**
          * Lists the newest decisions.
          *
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/HomeEndpoints.java
@@ -0,0 +1,239 @@
+package org.arbutuslock.daemon.internal.operators;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.daemon.internal.ejection.EndpointGuards;
+import org.arbutuslock.daemon.internal.home.LocalEndpoints;
+import org.arbutuslock.internal.configuration.RetryTimer;
+import org.arbutuslock.internal.ejection.EjectionDecision;
+import org.arbutuslock.internal.ejection.EndpointState;
+import org.arbutuslock.internal.membership.EndpointRecord;
+import org.arbutuslock.internal.operators.OperatorsReply;
+
+/** Explains, drains and undrains the backend servers of this host. */
+final class HomeEndpoints {
+    /** An endpoint that has not begun to drain by then is held back by the floor. */
+    static final Duration DRAIN_LIMIT = Duration.ofSeconds(2);
+
+    private static final Duration DRAIN_POLL = Duration.ofMillis(100);
+    private static final int MAXIMUM_DECISIONS = 64;
+    private static final String WITHDRAWN = "operator: the floor held the drain back for 2 s";
+
+    private final LocalEndpoints mEndpoints;
+    private final EndpointGuards mGuards;
+    private final Clock mClock;
+    private final RetryTimer mTimer;
+
+    HomeEndpoints(LocalEndpoints endpoints, EndpointGuards guards, Clock clock, RetryTimer timer) {
+        mEndpoints = endpoints;
+        mGuards = guards;
+        mClock = clock;
+        mTimer = timer;
+    }
+
+    boolean has(String backendServer) {
+        return !idsOf(backendServer).isEmpty();
+    }
+
+    CompletableFuture<OperatorsReply> explain(String backendServer) {
+        if (!has(backendServer)) {
+            return CompletableFuture.completedFuture(notFound(backendServer));
+        }
+        return reply(backendServer, OperatorsReply.Outcome.DESCRIBED, "");
+    }
+
+    CompletableFuture<OperatorsReply> drain(String backendServer) {
+        List<EndpointId> ids = idsOf(backendServer);
+        if (ids.isEmpty()) {
+            return CompletableFuture.completedFuture(notFound(backendServer));
+        }
+        return askAll(
+                        ids,
+                        control -> {
+                            EndpointState before = control.state();
+                            control.drain("drained by an operator");
+                            return isOut(before);
+                        })
+                .thenCompose(
+                        alreadyOut ->
+                                alreadyOut.stream().allMatch(Boolean::booleanValue)
+                                        ? reply(
+                                                backendServer,
+                                                OperatorsReply.Outcome.UNCHANGED,
+                                                "it takes no new work already")
+                                        : awaitDrain(
+                                                backendServer,
+                                                ids,
+                                                mClock.nanoTime() + DRAIN_LIMIT.toNanos()));
+    }
+
+    private CompletableFuture<OperatorsReply> awaitDrain(
+            String backendServer, List<EndpointId> ids, long deadlineNanos) {
+        return askAll(ids, EndpointGuards.EndpointControl::state)
+                .thenCompose(
+                        states -> {
+                            if (states.stream().allMatch(HomeEndpoints::isOut)) {
+                                return reply(
+                                        backendServer,
+                                        OperatorsReply.Outcome.ACCEPTED,
+                                        "it takes no new work and finishes what it has");
+                            }
+                            if (mClock.nanoTime() - deadlineNanos >= 0) {
+                                return withdraw(backendServer, ids);
+                            }
+                            CompletableFuture<OperatorsReply> later = new CompletableFuture<>();
+                            mTimer.runAfter(
+                                    DRAIN_POLL,
+                                    () ->
+                                            awaitDrain(backendServer, ids, deadlineNanos)
+                                                    .thenAccept(later::complete));
+                            return later;
+                        });
+    }
+
+    /** Without the withdrawal the drain would begin whenever the floor allows it later. */
+    private CompletableFuture<OperatorsReply> withdraw(String backendServer, List<EndpointId> ids) {
+        return askAll(
+                        ids,
+                        control -> {
+                            String reason = newestReason(control);
+                            control.cancelDrain(WITHDRAWN);
+                            return reason;
+                        })
+                .thenCompose(
+                        reasons ->
+                                reply(
+                                        backendServer,
+                                        OperatorsReply.Outcome.REFUSED_BY_FLOOR,
+                                        "too few other endpoints can stand in within "
+                                                + DRAIN_LIMIT.toSeconds()
+                                                + " s ("
+                                                + String.join("; ", reasons)
+                                                + "); the drain was withdrawn; add or return"
+                                                + " endpoints of the service, or lower its floor"));
+    }
+
+    private static String newestReason(EndpointGuards.EndpointControl control) {
+        List<EjectionDecision> decisions = control.explain();
+        if (decisions.isEmpty()) {
+            return "state " + control.state();
+        }
+        EjectionDecision newest = decisions.getLast();
+        return newest.evidence().isEmpty()
+                ? newest.reason()
+                : newest.reason() + ", " + newest.evidence();
+    }
+
+    CompletableFuture<OperatorsReply> undrain(String backendServer) {
+        List<EndpointId> ids = idsOf(backendServer);
+        if (ids.isEmpty()) {
+            return CompletableFuture.completedFuture(notFound(backendServer));
+        }
+        return askAll(
+                        ids,
+                        control -> {
+                            EndpointState before = control.state();
+                            control.cancelDrain("undrained by an operator");
+                            return new Undrained(isOut(before), isOut(control.state()));
+                        })
+                .thenCompose(results -> replyToUndrain(backendServer, results));
+    }
+
+    private CompletableFuture<OperatorsReply> replyToUndrain(
+            String backendServer, List<Undrained> results) {
+        if (results.stream().anyMatch(Undrained::after)) {
+            return reply(
+                    backendServer,
+                    OperatorsReply.Outcome.NOT_FOUND,
+                    "the backend server or its node departs for good; start it again instead");
+        }
+        return results.stream().anyMatch(Undrained::before)
+                ? reply(
+                        backendServer,
+                        OperatorsReply.Outcome.ACCEPTED,
+                        "it returns to service with a rising weight")
+                : reply(
+                        backendServer,
+                        OperatorsReply.Outcome.UNCHANGED,
+                        "it was not drained by an operator");
+    }
+
+    private record Undrained(boolean before, boolean after) {}
+
+    private static boolean isOut(EndpointState state) {
+        return state == EndpointState.DRAINING || state == EndpointState.LEFT;
+    }
+
+    private CompletableFuture<OperatorsReply> reply(
+            String backendServer, OperatorsReply.Outcome outcome, String reason) {
+        List<EndpointId> ids = idsOf(backendServer);
+        return askAll(
+                        ids,
+                        control ->
+                                control.explain().stream()
+                                        .map(
+                                                decision ->
+                                                        new OperatorsReply.EndpointDecision(
+                                                                control.id(), decision))
+                                        .toList())
+                .thenApply(
+                        lists ->
+                                new OperatorsReply(
+                                        outcome, reason, recordsOf(backendServer), merge(lists)));
+    }
+
+    private static List<OperatorsReply.EndpointDecision> merge(
+            List<List<OperatorsReply.EndpointDecision>> lists) {
+        return lists.stream()
+                .flatMap(list -> list.reversed().stream())
+                .sorted(
+                        Comparator.comparingLong(
+                                        (OperatorsReply.EndpointDecision decision) ->
+                                                decision.decision().wallTimeMillis())
+                                .reversed())
+                .limit(MAXIMUM_DECISIONS)
+                .toList();
+    }
+
+    private static OperatorsReply notFound(String backendServer) {
+        return new OperatorsReply(
+                OperatorsReply.Outcome.NOT_FOUND,
+                backendServer + " has no endpoint on this host",
+                List.of(),
+                List.of());
+    }
+
+    private List<EndpointRecord> recordsOf(String backendServer) {
+        return mEndpoints.records().stream()
+                .filter(endpoint -> endpoint.id().backendServer().equals(backendServer))
+                .toList();
+    }
+
+    private List<EndpointId> idsOf(String backendServer) {
+        return recordsOf(backendServer).stream().map(EndpointRecord::id).toList();
+    }
+
+    /** An endpoint that leaves meanwhile is left out of the list. */
+    private <T> CompletableFuture<List<T>> askAll(
+            List<EndpointId> ids, Function<EndpointGuards.EndpointControl, T> question) {
+        CompletableFuture<List<T>> all = CompletableFuture.completedFuture(new ArrayList<>());
+        for (EndpointId id : ids) {
+            CompletableFuture<Optional<T>> answer = mGuards.ask(id, question);
+            all =
+                    all.thenCombine(
+                            answer,
+                            (list, value) -> {
+                                value.ifPresent(list::add);
+                                return list;
+                            });
+        }
+        return all;
+    }
+}
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationChangeCodec.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationChangeCodec.java
@@ -21,8 +21,13 @@
  * }</pre>
  */
 public final class ConfigurationChangeCodec {
-    private static final int FORMAT_VERSION = 1;
-    private static final int CHANGE_FIELDS = 8;
+    private static final int FORMAT_VERSION = 2;
+    private static final int CHANGE_FIELDS = 10;
+
+    /** Version 1 has neither the operator's id nor the restored revision. */
+    private static final int FIRST_FORMAT_VERSION = 1;
+
+    private static final int FIRST_CHANGE_FIELDS = 8;
     private static final int PUT_SERVICE = 1;
     private static final int DELETE_SERVICE = 2;
     private static final int PUT_ROUTE = 3;
@@ -52,6 +57,7 @@
             for (ConfigurationOperation operation : change.operations()) {
                 packOperation(packer, operation);
             }
+            packer.packString(change.operatorId()).packLong(change.restoredRevision());
             return packer.toByteArray();
         } catch (IOException impossible) {
             throw new UncheckedIOException(impossible);
@@ -67,8 +73,9 @@
      */
     public static ConfigurationChange decode(byte[] bytes) throws MalformedConfigurationException {
         BoundedUnpacker unpacker = new BoundedUnpacker(bytes);
-        unpacker.readArray("change", CHANGE_FIELDS, CHANGE_FIELDS);
-        unpacker.readInt("change.formatVersion", FORMAT_VERSION, FORMAT_VERSION);
+        int fields = unpacker.readArray("change", FIRST_CHANGE_FIELDS, CHANGE_FIELDS);
+        int version = fields == FIRST_CHANGE_FIELDS ? FIRST_FORMAT_VERSION : FORMAT_VERSION;
+        unpacker.readInt("change.formatVersion", version, version);
         long revision = unpacker.readLong("change.revision", 1, Long.MAX_VALUE);
         UUID changeId =
                 new UUID(
@@ -78,9 +85,24 @@
         long wallTimeMillis = unpacker.readRawLong("change.wallTimeMillis");
         long baseRevision = unpacker.readLong("change.baseRevision", revision - 1, revision - 1);
         List<ConfigurationOperation> operations = unpackOperations(unpacker);
+        String operatorId = "";
+        long restoredRevision = 0;
+        if (version == FORMAT_VERSION) {
+            operatorId =
+                    unpacker.readString(
+                            "change.operatorId", ConfigurationLimits.CHANGE_ID_CHARACTERS);
+            restoredRevision = unpacker.readLong("change.restoredRevision", 0, baseRevision);
+        }
         unpacker.requireEnd();
         return new ConfigurationChange(
-                revision, changeId, author, wallTimeMillis, baseRevision, operations);
+                revision,
+                changeId,
+                author,
+                wallTimeMillis,
+                baseRevision,
+                operations,
+                operatorId,
+                restoredRevision);
     }
 
     private static void packOperation(MessagePacker packer, ConfigurationOperation operation)
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationLimits.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationLimits.java
@@ -10,6 +10,9 @@
     /** Characters of an author's name. */
     public static final int AUTHOR_CHARACTERS = 128;
 
+    /** Characters of a change id as an operator writes it. */
+    public static final int CHANGE_ID_CHARACTERS = 64;
+
     /** Characters of a host name, as DNS allows. */
     public static final int HOST_CHARACTERS = 253;
 
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationLog.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationLog.java
@@ -77,17 +77,29 @@
             long baseRevision,
             List<ConfigurationOperation> operations,
             long deadlineNanos) {
-        if (baseRevision < 0 || baseRevision == Long.MAX_VALUE) {
-            return CompletableFuture.completedFuture(invalidBase(baseRevision));
-        }
-        ConfigurationChange change =
+        return submit(
                 new ConfigurationChange(
                         baseRevision + 1,
                         changeId,
                         author,
                         mClock.wallTimeMillis(),
                         baseRevision,
-                        operations);
+                        operations),
+                deadlineNanos);
+    }
+
+    /**
+     * Submits a change that carries an operator's id or restores an earlier revision.
+     *
+     * @param change change whose revision is its base revision plus one
+     * @param deadlineNanos reading of the clock at which the response is due
+     * @return the response
+     */
+    public CompletableFuture<SubmitResult> submit(ConfigurationChange change, long deadlineNanos) {
+        long baseRevision = change.baseRevision();
+        if (baseRevision < 0 || baseRevision == Long.MAX_VALUE) {
+            return CompletableFuture.completedFuture(invalidBase(baseRevision));
+        }
         long timeoutNanos = Math.max(0, deadlineNanos - mClock.nanoTime());
         return new ChangeSubmission(
                         mStore,
@@ -141,6 +153,15 @@
         };
     }
 
+    /**
+     * Returns the accepted changes and earlier configurations.
+     *
+     * @return history of this log
+     */
+    public ChangeHistory history() {
+        return new ChangeHistory(mStore, mSnapshots);
+    }
+
     /**
      * Reads the newest snapshot, if nothing is in force yet, and all following changes.
      *
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/SnapshotStore.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/SnapshotStore.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.arbutuslock.api.Failure;
+import org.arbutuslock.api.Result;
 import org.arbutuslock.api.store.PlatformStore;
 import org.arbutuslock.api.store.ReadResult;
 import org.arbutuslock.api.store.StoreEntry;
@@ -126,6 +127,24 @@
                                 Optional.of(new CatchUpResult.StoreUnavailable(failureOf(thrown))));
     }
 
+    /** Loads the newest snapshot that is not newer than a revision, or the empty configuration. */
+    CompletableFuture<Result<Configuration>> loadAtMost(long revision) {
+        return readHead()
+                .thenApply(current -> chooseAtMost(current.head(), revision))
+                .thenCompose(head -> loadParts(head, new SnapshotAssembler(), 0))
+                .thenApply(found -> Result.success(found.orElse(Configuration.EMPTY)))
+                .exceptionally(thrown -> new Result.Failed<>(failureOf(thrown)));
+    }
+
+    private static SnapshotHead chooseAtMost(SnapshotHead head, long revision) {
+        if (head.revision() <= revision) {
+            return head;
+        }
+        return head.previousParts() > 0 && head.previousRevision() <= revision
+                ? new SnapshotHead(head.previousRevision(), head.previousParts(), 0, 0)
+                : SnapshotHead.NONE;
+    }
+
     private static Optional<CatchUpResult> apply(
             ConfigurationHolder holder, Optional<Configuration> configuration) {
         return configuration
--- a/kernel/src/test/java/org/arbutuslock/internal/configuration/ConfigurationChangeCodecTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/configuration/ConfigurationChangeCodecTest.java
@@ -6,6 +6,7 @@
 
 import java.util.Arrays;
 import java.util.SplittableRandom;
+import java.util.UUID;
 import org.arbutuslock.internal.testing.Seeds;
 import org.testng.annotations.Test;
 
@@ -20,6 +21,17 @@
         assertEquals(ConfigurationChangeCodec.decode(bytes), CHANGE);
     }
 
+    @Test
+    public void should_keep_the_id_that_the_operator_wrote() throws Exception {
+        ConfigurationChange rollback =
+                new ConfigurationChange(
+                        9, new UUID(3, 4), "ada", 5, 8, CHANGE.operations(), "fix-orders", 6);
+        byte[] bytes = ConfigurationChangeCodec.encode(rollback);
+        assertEquals(ConfigurationChangeCodec.decode(bytes), rollback);
+        assertEquals(rollback.displayId(), "fix-orders");
+        assertEquals(CHANGE.displayId(), CHANGE.changeId().toString());
+    }
+
     @Test
     public void should_reject_every_truncation() {
         byte[] bytes = ConfigurationChangeCodec.encode(CHANGE);
@@ -57,6 +69,6 @@
                 expectThrows(
                         MalformedConfigurationException.class,
                         () -> ConfigurationChangeCodec.decode(hugeArray));
-        assertEquals(error.getMessage(), "byte 5, field change: read 2147483647, allowed: 8 to 8");
+        assertEquals(error.getMessage(), "byte 5, field change: read 2147483647, allowed: 8 to 10");
     }
 }
