--- a/testbed/src/main/java/org/arbutuslock/testbed/fleet/LocalFleetDemo.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fleet/LocalFleetDemo.java
@@ -109,9 +109,9 @@
                 {
                   // Two services and a route to each.
                   "services": [
-                    {"name": "order-hub", "floorCount": 1, "expectedEndpoints": 2,
+                    {"name": "order-hub", "floorEndpoints": 1, "expectedEndpoints": 2,
                      "slotsPerEndpoint": 5, "retryPercent": 20},
-                    {"name": "inventory-desk", "floorCount": 1, "expectedEndpoints": 1,
+                    {"name": "inventory-desk", "floorEndpoints": 1, "expectedEndpoints": 1,
                      "slotsPerEndpoint": 5, "retryPercent": 20}
                   ],
                   "routes": [
