--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationLimits.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationLimits.java
@@ -1,6 +1,7 @@
 package org.arbutuslock.internal.configuration;
 
 import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.internal.routing.RouteTable;
 
 /** Bounds of configurations and their encoded forms. */
 public final class ConfigurationLimits {
@@ -17,10 +18,10 @@
     public static final int METHOD_CHARACTERS = 20;
 
     /** Characters of a route's path. */
-    public static final int PATH_CHARACTERS = 512;
+    public static final int PATH_CHARACTERS = RouteTable.MAXIMUM_PATH_CHARACTERS;
 
-    /** Segments of a route's path; bounds the copied nodes of one change. */
-    public static final int PATH_SEGMENTS = 32;
+    /** Segments of a route's path. */
+    public static final int PATH_SEGMENTS = RouteTable.MAXIMUM_SEGMENTS;
 
     /** Headers that a route can require. */
     public static final int HEADERS_PER_ROUTE = 8;
--- a/kernel/src/main/java/org/arbutuslock/internal/routing/RouteTable.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/routing/RouteTable.java
@@ -1,17 +1,13 @@
 package org.arbutuslock.internal.routing;
 
-import io.vavr.collection.HashMap;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import org.arbutuslock.api.RouteDefinition;
 
 /**
- * Finds the route of a request by host and path segments. Immutable; a change shares all but the
- * nodes on the path to the changed route, so that neither matching nor a change depends on the
- * number of routes.
+ * Finds the route of a request by host and path segments. Immutable; a change copies a small part
+ * of an index, so that neither matching nor a change depends on the number of routes.
  *
  * <p>Precedence: routes of the request's host before routes of any host; then the exact path before
  * prefixes, longer prefixes first; then more headers first; then a method before any method.
@@ -23,17 +19,22 @@
  */
 public final class RouteTable {
     /** A table without routes. */
-    public static final RouteTable EMPTY = new RouteTable(HashMap.empty());
+    public static final RouteTable EMPTY = new RouteTable(RouteIndex.EMPTY);
 
-    private static final String ANY_HOST = "";
+    /** Most segments of a route's path; bounds the lookups for a request. */
+    public static final int MAXIMUM_SEGMENTS = 32;
+
+    /** Most characters of a route's path; bounds the work of a lookup. */
+    public static final int MAXIMUM_PATH_CHARACTERS = 512;
 
-    /** Prefix nodes remembered while walking down a path; longer paths grow the list. */
-    private static final int EXPECTED_PREFIXES = 4;
+    private static final String ANY_HOST = "";
+    private static final char SLASH = '/';
 
-    private final HashMap<String, PathNode> mHosts;
+    /** Keys are host and path; a host has no slash and a path starts with one. */
+    private final RouteIndex mIndex;
 
-    private RouteTable(HashMap<String, PathNode> hosts) {
-        mHosts = hosts;
+    private RouteTable(RouteIndex index) {
+        mIndex = index;
     }
 
     /**
@@ -43,9 +44,7 @@
      * @return a table with the route
      */
     public RouteTable with(RouteDefinition route) {
-        PathNode root = mHosts.getOrElse(route.host(), PathNode.EMPTY);
-        PathNode changed = root.with(route, segmentsOf(route));
-        return new RouteTable(mHosts.put(route.host(), changed));
+        return new RouteTable(mIndex.with(keyOf(route), route));
     }
 
     /**
@@ -55,15 +54,7 @@
      * @return a table without the route
      */
     public RouteTable without(RouteDefinition route) {
-        PathNode root = mHosts.getOrElse(route.host(), null);
-        if (root == null) {
-            return this;
-        }
-        PathNode changed = root.without(route, segmentsOf(route));
-        return new RouteTable(
-                changed.isEmpty()
-                        ? mHosts.remove(route.host())
-                        : mHosts.put(route.host(), changed));
+        return new RouteTable(mIndex.without(keyOf(route), route));
     }
 
     /**
@@ -73,12 +64,7 @@
      * @return routes in the order of precedence
      */
     public List<RouteDefinition> routesAtLocationOf(RouteDefinition route) {
-        PathNode node = mHosts.getOrElse(route.host(), null);
-        PathSegments segments = segmentsOf(route);
-        while (node != null && segments.advance()) {
-            node = node.child(segments.current());
-        }
-        return node == null ? List.of() : List.of(node.routes(route.prefix()));
+        return mIndex.routesOf(keyOf(route), route.prefix());
     }
 
     /**
@@ -93,44 +79,20 @@
     public Optional<RouteDefinition> match(
             String method, String host, String path, HeaderAccessor headers) {
         String normalizedHost = normalizeHost(host);
+        String pathOnly = normalizePath(path);
         RouteDefinition found = null;
         if (!normalizedHost.isEmpty()) {
-            found = matchHost(normalizedHost, method, path, headers);
+            found = matchHost(normalizedHost, method, pathOnly, headers);
         }
         return Optional.ofNullable(
-                found != null ? found : matchHost(ANY_HOST, method, path, headers));
+                found != null ? found : matchHost(ANY_HOST, method, pathOnly, headers));
     }
 
     private RouteDefinition matchHost(
             String host, String method, String path, HeaderAccessor headers) {
-        PathNode node = mHosts.getOrElse(host, null);
-        if (node == null) {
-            return null;
-        }
-        List<PathNode> prefixes = new ArrayList<>(EXPECTED_PREFIXES);
-        PathSegments segments = PathSegments.ofRequest(path);
-        addIfPrefix(prefixes, node);
-        while (segments.advance()) {
-            node = node.child(segments.current());
-            if (node == null) {
-                return matchLongestPrefix(prefixes, method, headers);
-            }
-            addIfPrefix(prefixes, node);
-        }
-        RouteDefinition exact = firstMatch(node.exactRoutes(), method, headers);
-        return exact != null ? exact : matchLongestPrefix(prefixes, method, headers);
-    }
-
-    private static void addIfPrefix(List<PathNode> prefixes, PathNode node) {
-        if (node.prefixRoutes().length > 0) {
-            prefixes.add(node);
-        }
-    }
-
-    private static RouteDefinition matchLongestPrefix(
-            List<PathNode> prefixes, String method, HeaderAccessor headers) {
-        for (int index = prefixes.size() - 1; index >= 0; index--) {
-            RouteDefinition found = firstMatch(prefixes.get(index).prefixRoutes(), method, headers);
+        PrefixKeys keys = PrefixKeys.of(host, path);
+        for (int index = keys.count() - 1; index >= 0; index--) {
+            RouteDefinition found = matchKey(keys, index, method, headers);
             if (found != null) {
                 return found;
             }
@@ -138,34 +100,38 @@
         return null;
     }
 
-    private static RouteDefinition firstMatch(
-            RouteDefinition[] routes, String method, HeaderAccessor headers) {
-        for (RouteDefinition route : routes) {
-            boolean methodMatches = route.method().isEmpty() || route.method().equals(method);
-            if (methodMatches && headersMatch(route.headers(), headers)) {
-                return route;
+    private RouteDefinition matchKey(
+            PrefixKeys keys, int index, String method, HeaderAccessor headers) {
+        int hash = keys.hash(index);
+        for (RouteEntry entry = mIndex.chainAt(hash); entry != null; entry = entry.next()) {
+            // The key is compared last, since reading it costs a cache miss.
+            if (entry.hash() == hash
+                    && entry.matches(keys.isWholePath(index), method, headers)
+                    && entry.hasKey(hash, keys.bytes(), keys.end(index))) {
+                return entry.route();
             }
         }
         return null;
     }
 
-    private static boolean headersMatch(Map<String, String> required, HeaderAccessor headers) {
-        if (required.isEmpty()) {
-            return true;
-        }
-        for (Map.Entry<String, String> header : required.entrySet()) {
-            if (!header.getValue().equals(headers.firstValue(header.getKey()))) {
-                return false;
-            }
-        }
-        return true;
+    private static byte[] keyOf(RouteDefinition route) {
+        return PrefixKeys.keyOf(route.host(), route.path());
     }
 
-    private static PathSegments segmentsOf(RouteDefinition route) {
-        return PathSegments.ofRoute(route.path(), route.prefix());
+    /** Removes the query. A target without a path, such as {@code *}, matches as the root. */
+    private static String normalizePath(String target) {
+        if (target.isEmpty() || target.charAt(0) != SLASH) {
+            return "/";
+        }
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
     }
 
+    /** A host with a slash is not a host name, and could be taken for a host and a path. */
     private static String normalizeHost(String host) {
+        if (host.indexOf(SLASH) >= 0) {
+            return ANY_HOST;
+        }
         int colon = host.startsWith("[") ? -1 : host.indexOf(':');
         String name = colon < 0 ? host : host.substring(0, colon);
         return name.toLowerCase(Locale.ROOT);
--- a/kernel/src/test/java/org/arbutuslock/internal/routing/RouteTableTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/routing/RouteTableTest.java
@@ -41,6 +41,12 @@
             {"POST", "shop.example", "/orders/7", Map.of("x", "1"), "beta"},
             {"GET", "shop.example", "/orders/new", Map.of("x", "1"), "exact"},
             {"GET", "shop.example", "/orders/new/7", Map.of("x", "1"), "deep"},
+            {"GET", "shop.example", "/orders//7", Map.of(), "orders"},
+            {"GET", "shop.example", "/orders/" + "a/".repeat(5000), Map.of(), "orders"},
+            {"GET", "shop.example", "/orders/" + "a".repeat(5000), Map.of(), "orders"},
+            {"GET", "shop.example", "/" + "a".repeat(5000), Map.of(), "shop"},
+            {"GET", "shop.example/orders", "/new", Map.of(), "any"},
+            {"OPTIONS", "shop.example", "*", Map.of(), "shop"},
         };
     }
 
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/ConfigurationSizeBench.java
@@ -0,0 +1,257 @@
+package org.arbutuslock.testbed.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.UUID;
+import java.util.function.IntConsumer;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.api.RouteDefinition;
+import org.arbutuslock.internal.configuration.ApplyResult;
+import org.arbutuslock.internal.configuration.Configuration;
+import org.arbutuslock.internal.configuration.ConfigurationChangeCodec;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.configuration.ConfigurationLog;
+import org.arbutuslock.internal.configuration.ConfigurationOperation;
+import org.arbutuslock.internal.configuration.MalformedConfigurationException;
+import org.arbutuslock.internal.configuration.SnapshotAssembler;
+import org.arbutuslock.internal.configuration.SnapshotCodec;
+import org.arbutuslock.internal.configuration.SubmitResult;
+import org.arbutuslock.internal.routing.HeaderAccessor;
+import org.arbutuslock.internal.routing.RouteTable;
+
+/**
+ * Measures memory, matching, changes and snapshots of configurations up to the design size and
+ * exits with 1 when a bound fails.
+ *
+ * <pre>{@code
+ * java -Xmx1500m -cp "testbed/target/classes:testbed/target/lib/*" \
+ *     org.arbutuslock.testbed.bench.ConfigurationSizeBench
+ * }</pre>
+ */
+public final class ConfigurationSizeBench {
+    private static final int[] ROUTES = {700, 7_000, 70_000};
+    private static final int[] TENANTS = {9_100, 91_000, 910_000};
+    private static final int[] MATCHED_ROUTES = {70, 7_000, 70_000};
+    private static final long MAXIMUM_BYTES = 256L << 20;
+    private static final double MAXIMUM_RATIO = 3;
+
+    /** As many distinct requests as fit no processor cache, at every size. */
+    private static final int REQUESTS = 1 << 16;
+
+    private static final int CHANGES_PER_ROUND = 4000;
+    private static final int SUBMISSIONS = 100;
+    private static final int LARGEST_WEIGHT = 100;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final long SUBMIT_NANOS = 1_000_000_000L;
+
+    private final Map<String, Object> mFigures = new LinkedHashMap<>();
+    private final SplittableRandom mRandom = new SplittableRandom(1);
+    private boolean mFailed;
+
+    /** Keeps matched routes observable, so that the compiler cannot remove the matching. */
+    private long mPriorities;
+
+    private ConfigurationSizeBench() {}
+
+    private record Request(String method, String host, String path) {}
+
+    /**
+     * Runs all measurements and prints each figure as text and all as JSON.
+     *
+     * @param arguments none
+     * @throws JsonProcessingException when the figures cannot be printed
+     * @throws MalformedConfigurationException when a snapshot cannot be read back
+     */
+    public static void main(String[] arguments)
+            throws JsonProcessingException, MalformedConfigurationException {
+        ConfigurationSizeBench bench = new ConfigurationSizeBench();
+        bench.measureMemory();
+        bench.measureMatching();
+        bench.measureChangesAndSnapshots();
+        bench.measureStoreCalls();
+        ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+        System.out.println(mapper.writeValueAsString(bench.mFigures));
+        System.exit(bench.mFailed ? 1 : 0);
+    }
+
+    private void measureMemory() {
+        SampleConfigurations.build(ROUTES[0], TENANTS[0]);
+        long[] routeBytes = new long[ROUTES.length];
+        long[] tenantBytes = new long[TENANTS.length];
+        for (int index = 0; index < ROUTES.length; index++) {
+            int routes = ROUTES[index];
+            int tenants = TENANTS[index];
+            routeBytes[index] =
+                    heldBytes("held bytes of " + routes + " routes with services", routes, 0);
+            tenantBytes[index] = heldBytes("held bytes of " + tenants + " tenants", 0, tenants);
+        }
+        report("bytes per route", slope(routeBytes, ROUTES));
+        report("bytes per tenant", slope(tenantBytes, TENANTS));
+        long total =
+                heldBytes(
+                        "held bytes of everything at design size",
+                        ROUTES[ROUTES.length - 1],
+                        TENANTS[TENANTS.length - 1]);
+        requireAtMost("held bytes of everything at design size", total, MAXIMUM_BYTES);
+    }
+
+    private long heldBytes(String name, int routes, int tenants) {
+        Measurement.Held<Configuration> held =
+                Measurement.held(() -> SampleConfigurations.build(routes, tenants));
+        if (held.value().routeCount() != routes || held.value().tenantCount() != tenants) {
+            throw new IllegalStateException(name + ": the sample configuration is incomplete");
+        }
+        report(name, held.bytes());
+        return held.bytes();
+    }
+
+    /** Slope between the two largest sizes, where fixed costs matter least. */
+    private static double slope(long[] bytes, int[] counts) {
+        int last = counts.length - 1;
+        return (double) (bytes[last] - bytes[last - 1]) / (counts[last] - counts[last - 1]);
+    }
+
+    private void measureMatching() {
+        List<IntConsumer> variants =
+                Arrays.stream(MATCHED_ROUTES).mapToObj(this::matchingOf).toList();
+        double[] nanos = Measurement.medianNanos(REQUESTS, variants);
+        for (int index = 0; index < MATCHED_ROUTES.length; index++) {
+            report("ns to match at " + MATCHED_ROUTES[index] + " routes", nanos[index]);
+        }
+        double ratio = nanos[MATCHED_ROUTES.length - 1] / nanos[0];
+        report("match cost at 70,000 routes relative to 70", ratio);
+        requireAtMost("match cost at 70,000 routes relative to 70", ratio, MAXIMUM_RATIO);
+        report("sum of priorities of matched routes", mPriorities);
+    }
+
+    private IntConsumer matchingOf(int routes) {
+        RouteTable table = SampleConfigurations.build(routes, 0).routeTable();
+        Request[] requests = new Request[REQUESTS];
+        for (int index = 0; index < REQUESTS; index++) {
+            RouteDefinition route = SampleConfigurations.route(mRandom.nextInt(routes));
+            String method = route.method().isEmpty() ? "GET" : route.method();
+            requests[index] = new Request(method, route.host(), route.path() + "/item-" + index);
+        }
+        return index -> {
+            Request request = requests[index];
+            RouteDefinition found =
+                    table.match(
+                                    request.method(),
+                                    request.host(),
+                                    request.path(),
+                                    HeaderAccessor.NONE)
+                            .orElseThrow();
+            // A caller reads the route that it gets.
+            mPriorities += found.priority();
+        };
+    }
+
+    private void measureChangesAndSnapshots() throws MalformedConfigurationException {
+        List<IntConsumer> variants = new ArrayList<>();
+        for (int index = 0; index < ROUTES.length; index++) {
+            variants.add(changesOf(ROUTES[index], TENANTS[index]));
+        }
+        double[] nanos = Measurement.medianNanos(CHANGES_PER_ROUND, variants);
+        for (int index = 0; index < ROUTES.length; index++) {
+            report("ns to apply one change at " + ROUTES[index] + " routes", nanos[index]);
+            measureSnapshot(ROUTES[index], TENANTS[index]);
+        }
+        double ratio = nanos[ROUTES.length - 1] / nanos[0];
+        report("change cost at 70,000 routes relative to 700", ratio);
+        requireAtMost("change cost at 70,000 routes relative to 700", ratio, MAXIMUM_RATIO);
+    }
+
+    /** Encodes, decodes and applies changes of one route or one tenant in turns. */
+    private IntConsumer changesOf(int routes, int tenants) {
+        ConfigurationHolder holder = new ConfigurationHolder();
+        holder.apply(SampleConfigurations.build(routes, tenants));
+        return index -> applyOne(holder, index, routes, tenants);
+    }
+
+    private void applyOne(ConfigurationHolder holder, int index, int routes, int tenants) {
+        ConfigurationOperation operation =
+                index % 2 == 0
+                        ? new ConfigurationOperation.PutRoute(
+                                SampleConfigurations.route(mRandom.nextInt(routes)))
+                        : new ConfigurationOperation.PutTenant(
+                                SampleConfigurations.tenant(
+                                        mRandom.nextInt(tenants),
+                                        1 + mRandom.nextInt(LARGEST_WEIGHT)));
+        ApplyResult result =
+                holder.applyEncoded(
+                        ConfigurationChangeCodec.encode(
+                                SampleConfigurations.change(
+                                        holder.current().revision(), List.of(operation))));
+        if (!(result instanceof ApplyResult.Applied)) {
+            throw new IllegalStateException("change " + index + ": " + result);
+        }
+    }
+
+    private void measureSnapshot(int routes, int tenants) throws MalformedConfigurationException {
+        List<byte[]> parts = SnapshotCodec.encode(SampleConfigurations.build(routes, tenants));
+        String size = routes + " routes and " + tenants + " tenants";
+        report("parts of a snapshot of " + size, parts.size());
+        report(
+                "encoded bytes of a snapshot of " + size,
+                parts.stream().mapToLong(part -> part.length).sum());
+        double best = Double.MAX_VALUE;
+        for (int round = 0; round < 5; round++) {
+            long start = System.nanoTime();
+            SnapshotAssembler assembler = new SnapshotAssembler();
+            for (byte[] part : parts) {
+                assembler.add(part);
+            }
+            Configuration loaded = assembler.complete().orElseThrow();
+            best = Math.min(best, (System.nanoTime() - start) / NANOS_PER_MILLI);
+            if (loaded.tenantCount() != tenants) {
+                throw new IllegalStateException("the loaded snapshot is incomplete");
+            }
+        }
+        report("ms to load a snapshot of " + size + " (best of 5)", best);
+    }
+
+    private void measureStoreCalls() {
+        CountingStore store = new CountingStore();
+        ConfigurationHolder holder = new ConfigurationHolder();
+        Clock clock = Clock.system();
+        ConfigurationLog log =
+                new ConfigurationLog(store, holder, clock, (delay, task) -> {}, mRandom);
+        for (int index = 0; index < SUBMISSIONS; index++) {
+            List<ConfigurationOperation> operations =
+                    List.of(
+                            new ConfigurationOperation.PutTenant(
+                                    SampleConfigurations.tenant(index, 1)));
+            SubmitResult result =
+                    log.submit(
+                                    new UUID(2, index),
+                                    "bench",
+                                    index,
+                                    operations,
+                                    clock.nanoTime() + SUBMIT_NANOS)
+                            .join();
+            if (!(result instanceof SubmitResult.Accepted)) {
+                throw new IllegalStateException("submission " + index + ": " + result);
+            }
+        }
+        report("store calls per change", (double) store.calls() / SUBMISSIONS);
+    }
+
+    private void report(String name, double value) {
+        mFigures.put(name, value);
+        System.out.printf("%-70s %,15.2f%n", name, value);
+    }
+
+    private void requireAtMost(String name, double value, double maximum) {
+        if (value > maximum) {
+            mFailed = true;
+            System.out.println("FAILED: " + name + " is " + value + ", allowed: " + maximum);
+        }
+    }
+}
