--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceJudge.java
@@ -0,0 +1,229 @@
+package org.arbutuslock.internal.detection;
+
+import java.util.Locale;
+
+/** Turns judged buckets into scores and scores into a verdict. */
+final class EvidenceJudge {
+    /** A latency counts as slow above this multiple of the usual 90th percentile. */
+    private static final double SLOW_FACTOR = 1.3;
+
+    /** Own history may excuse a server that has always been slower, up to this multiple. */
+    private static final double OWN_HISTORY_LIMIT = 2;
+
+    private static final double USUAL_SLOW_RATE = 0.12;
+    private static final double FAULTY_SLOW_RATE = 0.45;
+    private static final double LOWEST_USUAL_FAILURE_RATE = 0.01;
+    private static final double FAULTY_FAILURE_RATE = 0.3;
+    private static final double LOWEST_USUAL_STALL_RATE = 0.002;
+    private static final double FAULTY_STALL_RATE = 0.2;
+    private static final double LOWEST_USUAL_REFUSAL_RATE = 0.15;
+    private static final double FAULTY_REFUSAL_RATE = 0.6;
+    private static final double GROUP_MARGIN = 1.5;
+    private static final double HIGHEST_RATE = 0.95;
+
+    /** Sick above this score at 1 request/s. */
+    private static final double SICK_SCORE = 12;
+
+    private static final double SUSPECT_SHARE = 0.25;
+    private static final double LIMIT_SHARE = 1.5;
+
+    private final EvidenceScore mSlow = new EvidenceScore();
+    private final EvidenceScore mFailures = new EvidenceScore();
+    private final EvidenceScore mRefusals = new EvidenceScore();
+    private final RotatingBucket[] mPast = new RotatingBucket[Lane.values().length];
+    private final double[] mPastUpperMicros = new double[Lane.values().length];
+    private final LaneBucket mScratch = new LaneBucket();
+    private double mPastFailureRate;
+    private boolean mSick;
+    private boolean mSuspicious;
+    private Lane mSlowLane = Lane.SHORT;
+    private int mSlowCount;
+    private int mSlowSamples;
+    private double mSlowLimitMicros;
+    private int mFailureCount;
+    private int mFailureRequests;
+    private int mJudged;
+
+    EvidenceJudge(long pastNanos, long nowNanos) {
+        for (int lane = 0; lane < mPast.length; lane++) {
+            mPast[lane] = new RotatingBucket(pastNanos, nowNanos);
+        }
+    }
+
+    void judge(LaneBucket[] lanes, GroupWindow group, long endNanos, double requestsPerSecond) {
+        long second = 1_000_000_000L;
+        GroupWindow.Usual before = group.usual(endNanos - second, endNanos);
+        GroupWindow.Usual after = group.usual(endNanos, endNanos + second);
+        double sickScore = sickScore(requestsPerSecond);
+        if (before == null || after == null) {
+            // Without a group, a fault of the whole service cannot be told from one server's.
+            mSlow.limit(sickScore / 2);
+            mFailures.limit(sickScore / 2);
+            return;
+        }
+        judgeOutcomes(lanes, before, after);
+        for (Lane lane : Lane.values()) {
+            double usual =
+                    Math.max(
+                            group.upperMicros(lane, endNanos - second, endNanos),
+                            group.upperMicros(lane, endNanos, endNanos + second));
+            judgeLatency(lanes[lane.ordinal()], lane, usual);
+        }
+        mSlow.limit(LIMIT_SHARE * sickScore);
+        mFailures.limit(LIMIT_SHARE * sickScore);
+        mRefusals.limit(LIMIT_SHARE * sickScore);
+        decide(sickScore);
+        if (!mSuspicious) {
+            remember(lanes, endNanos);
+        }
+    }
+
+    private void judgeOutcomes(
+            LaneBucket[] lanes, GroupWindow.Usual before, GroupWindow.Usual after) {
+        int good = 0;
+        int failed = 0;
+        int stalled = 0;
+        int refused = 0;
+        for (Lane lane : Lane.values()) {
+            LaneBucket bucket = lanes[lane.ordinal()];
+            failed += bucket.mFailed;
+            stalled += bucket.mStalled;
+            refused += bucket.mRefused;
+            if (lane != Lane.PROBE) {
+                // A server may treat probes well: a good one takes no evidence back.
+                good += bucket.mRequests - bucket.mFailed - bucket.mStalled - bucket.mRefused;
+            }
+        }
+        if (failed + stalled > 0) {
+            mFailureCount = failed + stalled;
+            mFailureRequests = good + failed + stalled;
+        }
+        double groupFailed = Math.max(before.failed(), after.failed());
+        double usualFailed = Math.max(groupFailed, mPastFailureRate);
+        addRate(
+                mFailures,
+                failed,
+                good,
+                Math.max(LOWEST_USUAL_FAILURE_RATE, GROUP_MARGIN * usualFailed),
+                FAULTY_FAILURE_RATE);
+        double groupStalled = Math.max(before.stalled(), after.stalled());
+        addRate(
+                mFailures,
+                stalled,
+                0,
+                Math.max(LOWEST_USUAL_STALL_RATE, GROUP_MARGIN * groupStalled),
+                FAULTY_STALL_RATE);
+        double groupRefused = Math.max(before.refused(), after.refused());
+        addRate(
+                mRefusals,
+                refused,
+                good + failed + stalled,
+                Math.max(LOWEST_USUAL_REFUSAL_RATE, 2 * groupRefused),
+                FAULTY_REFUSAL_RATE);
+    }
+
+    private static void addRate(
+            EvidenceScore score, int bad, int good, double usual, double faulty) {
+        double usualRate = Math.min(usual, HIGHEST_RATE - 0.1);
+        double faultyRate = Math.min(HIGHEST_RATE, Math.max(faulty, usualRate + 0.1));
+        if (bad + good > 0) {
+            score.add(bad, Math.max(0, good), usualRate, faultyRate, 1);
+        }
+    }
+
+    private void judgeLatency(LaneBucket bucket, Lane lane, double groupUpperMicros) {
+        if (bucket.mSamples == 0 || groupUpperMicros == 0) {
+            return;
+        }
+        double own =
+                Math.min(mPastUpperMicros[lane.ordinal()], OWN_HISTORY_LIMIT * groupUpperMicros);
+        double limit = SLOW_FACTOR * Math.max(groupUpperMicros, own);
+        int slow = bucket.countAbove(limit);
+        mSlow.add(slow, bucket.mSamples - slow, USUAL_SLOW_RATE, FAULTY_SLOW_RATE, 1);
+        if (slow > 0) {
+            mSlowLane = lane;
+            mSlowCount = slow;
+            mSlowSamples = bucket.mSamples;
+            mSlowLimitMicros = limit;
+        }
+    }
+
+    private void decide(double sickScore) {
+        double score = score();
+        mSuspicious = score >= SUSPECT_SHARE * sickScore;
+        if (score >= sickScore) {
+            mSick = true;
+        } else if (!mSuspicious) {
+            mSick = false;
+        }
+    }
+
+    /** Learns what is usual here while nothing is suspicious. */
+    private void remember(LaneBucket[] lanes, long nowNanos) {
+        int requests = 0;
+        int failed = 0;
+        for (int lane = 0; lane < lanes.length; lane++) {
+            mPast[lane].add(lanes[lane], nowNanos);
+            requests += lanes[lane].mRequests;
+            failed += lanes[lane].mFailed;
+        }
+        mPastFailureRate +=
+                Math.min(0.01, 0.001 * requests)
+                        * (requests == 0 ? 0 : (double) failed / requests - mPastFailureRate);
+        mJudged++;
+        if (mJudged % 20 == 0) {
+            for (int lane = 0; lane < lanes.length; lane++) {
+                mPast[lane].copyTo(mScratch);
+                mPastUpperMicros[lane] = LaneBucket.quantile(mScratch, 90);
+            }
+        }
+    }
+
+    Verdict verdict(double requestsPerSecond) {
+        double severity = Math.min(1, score() / sickScore(requestsPerSecond));
+        if (mSick) {
+            return new Verdict.Sick(severity, toString());
+        }
+        return mSuspicious
+                ? new Verdict.Suspect(severity, toString())
+                : new Verdict.Healthy(severity, "nothing unusual");
+    }
+
+    boolean isSuspicious() {
+        return mSuspicious;
+    }
+
+    void restart() {
+        mSlow.reset();
+        mFailures.reset();
+        mRefusals.reset();
+        mSick = false;
+        mSuspicious = false;
+    }
+
+    /** More requests give more chances for a false alarm in the same time. */
+    private static double sickScore(double requestsPerSecond) {
+        return SICK_SCORE + Math.log(Math.max(1, requestsPerSecond));
+    }
+
+    private double score() {
+        return Math.max(mSlow.value(), Math.max(mFailures.value(), mRefusals.value()));
+    }
+
+    @Override
+    public String toString() {
+        return String.format(
+                Locale.ROOT,
+                "scores: slow %.1f, failures %.1f, refusals %.1f; last slow bucket: %d of %d %s"
+                        + " requests above %.1f ms; last bucket with failures: %d of %d requests",
+                mSlow.value(),
+                mFailures.value(),
+                mRefusals.value(),
+                mSlowCount,
+                mSlowSamples,
+                mSlowLane,
+                mSlowLimitMicros / 1_000,
+                mFailureCount,
+                mFailureRequests);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceScore.java
@@ -0,0 +1,27 @@
+package org.arbutuslock.internal.detection;
+
+/**
+ * Cumulative sum of log-likelihood ratios (Page's test): evidence for the faulty rate adds up,
+ * evidence for the usual rate takes it back, never below zero.
+ */
+final class EvidenceScore {
+    private double mScore;
+
+    void add(int bad, int good, double usualRate, double faultyRate, double weight) {
+        double perBad = Math.log(faultyRate / usualRate);
+        double perGood = Math.log((1 - faultyRate) / (1 - usualRate));
+        mScore = Math.max(0, mScore + weight * (bad * perBad + good * perGood));
+    }
+
+    void limit(double highest) {
+        mScore = Math.min(mScore, highest);
+    }
+
+    void reset() {
+        mScore = 0;
+    }
+
+    double value() {
+        return mScore;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/HealthDigest.java
@@ -0,0 +1,36 @@
+package org.arbutuslock.internal.detection;
+
+import java.util.List;
+
+/**
+ * Observations of one endpoint in the last second, sent once a second to five random endpoints of
+ * the service. Lanes with few requests cover up to 30 s.
+ *
+ * @param lanes one entry per {@link Lane}, in its order
+ */
+public record HealthDigest(List<LaneDigest> lanes) {
+    /** Copies the lanes so that a digest never changes. */
+    public HealthDigest {
+        lanes = List.copyOf(lanes);
+    }
+
+    /**
+     * Observations of one lane.
+     *
+     * @param requests finished requests, including refused and stalled ones
+     * @param failed wrong, truncated and timed out ones
+     * @param stalled stalled ones
+     * @param refused refused ones
+     * @param latencySamples requests behind the quantiles
+     * @param medianMicros median latency, corrected for queueing
+     * @param upperMicros 90th percentile of that latency
+     */
+    public record LaneDigest(
+            int requests,
+            int failed,
+            int stalled,
+            int refused,
+            int latencySamples,
+            int medianMicros,
+            int upperMicros) {}
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/DetectionRun.java
@@ -0,0 +1,187 @@
+package org.arbutuslock.testbed.bench;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.ManualClock;
+import org.arbutuslock.internal.detection.HealthDetector;
+import org.arbutuslock.internal.detection.HealthDigest;
+import org.arbutuslock.internal.detection.Lane;
+import org.arbutuslock.internal.detection.Outcome;
+import org.arbutuslock.internal.detection.Verdict;
+
+/** One seeded run of one group with one detector per server and both baselines. */
+final class DetectionRun {
+    private static final int STEPS_PER_SECOND = 100;
+    private static final int STEPS_PER_EVALUATION = 25;
+    private static final int DIGEST_RECEIVERS = 5;
+    private static final double LARGE_LOAD = 10;
+    private static final double SHARED_SLOWNESS = 5;
+    private static final double SHARED_ERRORS = 0.5;
+    private static final double USUAL_ERRORS = 0.003;
+    private static final double MANY_ERRORS = 0.02;
+    private static final int ENTRY_NODES = 8;
+    private static final Duration STEP = Duration.ofMillis(1_000 / STEPS_PER_SECOND);
+
+    private final DetectionCase mCase;
+    private final RandomGenerator mRandom;
+    private final ManualClock mClock = new ManualClock();
+    private final SimulatedServer[] mServers;
+    private final HealthDetector[] mDetectors;
+    private final EndpointId[] mIds;
+    private final int[] mDigestPhase;
+    private final ConsecutiveErrorsRule[] mErrorRules;
+    private final LatencyOutlierRule mLatencyRule;
+    private final DetectionResult[] mResults = {
+        new DetectionResult(), new DetectionResult(), new DetectionResult()
+    };
+    private final long mFaultStep;
+    private boolean mUnusual;
+    private double mUnusualUntilSeconds;
+    private long mStep;
+
+    DetectionRun(DetectionCase benchCase, long seed) {
+        mCase = benchCase;
+        mRandom = new SplittableRandom(seed);
+        int servers = benchCase.servers();
+        mServers = new SimulatedServer[servers];
+        mDetectors = new HealthDetector[servers];
+        mIds = new EndpointId[servers];
+        mDigestPhase = new int[servers];
+        mErrorRules = new ConsecutiveErrorsRule[servers];
+        mLatencyRule = new LatencyOutlierRule(servers);
+        for (int server = 0; server < servers; server++) {
+            mServers[server] = new SimulatedServer(benchCase, mRandom);
+            mDetectors[server] = new HealthDetector(benchCase.slots(), mClock);
+            mIds[server] = new EndpointId("bench", "server-" + server);
+            mDigestPhase[server] = mRandom.nextInt(STEPS_PER_SECOND);
+            mErrorRules[server] = new ConsecutiveErrorsRule();
+        }
+        mFaultStep =
+                STEPS_PER_SECOND * DetectionCase.WARM_UP_SECONDS
+                        + mRandom.nextInt(STEPS_PER_SECOND);
+    }
+
+    /** Returns the results of the detector, the errors rule and the latency rule. */
+    DetectionResult[] run() {
+        boolean faulty = mCase.fault() != DetectionCase.Fault.NONE;
+        long steps = (long) mCase.seconds() * STEPS_PER_SECOND;
+        for (mStep = 0; mStep < steps; mStep++) {
+            if (faulty && mStep == mFaultStep) {
+                mServers[0].mFaulty = true;
+            }
+            step();
+            if (faulty && mResults[0].isDetected() && mStep > mFaultStep + 60L * STEPS_PER_SECOND) {
+                break;
+            }
+        }
+        for (DetectionResult result : mResults) {
+            result.addServerSeconds(mStep / STEPS_PER_SECOND * mCase.servers());
+        }
+        return mResults;
+    }
+
+    private void step() {
+        mClock.advance(STEP);
+        double nowNanos = mClock.nanoTime();
+        changeCondition(nowNanos);
+        boolean swing = mCase.noise() == DetectionCase.Noise.SWING;
+        double load = swing && mUnusual ? LARGE_LOAD : 1;
+        GroupCondition condition = condition();
+        for (int server = 0; server < mServers.length; server++) {
+            int observed = server;
+            mServers[server].step(
+                    nowNanos,
+                    load,
+                    condition,
+                    (lane, latencyNanos, inFlight, outcome) ->
+                            observe(observed, lane, latencyNanos, inFlight, outcome));
+            if ((mStep + mDigestPhase[server]) % STEPS_PER_SECOND == 0) {
+                sendDigest(server);
+            }
+            if ((mStep + mDigestPhase[server]) % STEPS_PER_EVALUATION == 0) {
+                evaluate(server, nowNanos);
+            }
+        }
+        if (mStep % STEPS_PER_SECOND == 0) {
+            judgeLatencies();
+        }
+    }
+
+    /** Shared trouble lasts 2 to 12 s and comes about three times a minute. */
+    private void changeCondition(double nowNanos) {
+        double nowSeconds = nowNanos / 1e9;
+        if (nowSeconds < mUnusualUntilSeconds) {
+            return;
+        }
+        mUnusual = !mUnusual;
+        mUnusualUntilSeconds = nowSeconds + mRandom.nextDouble(2, mUnusual ? 12 : 24);
+        if (mCase.noise() == DetectionCase.Noise.SWING) {
+            for (SimulatedServer server : mServers) {
+                server.changeLoad(nowNanos, mUnusual ? LARGE_LOAD : 1);
+            }
+        }
+    }
+
+    private GroupCondition condition() {
+        return switch (mCase.noise()) {
+            case SHARED_SLOWNESS ->
+                    new GroupCondition(mUnusual ? SHARED_SLOWNESS : 1, USUAL_ERRORS);
+            case SHARED_ERRORS -> new GroupCondition(1, mUnusual ? SHARED_ERRORS : USUAL_ERRORS);
+            case ERRORS -> new GroupCondition(1, MANY_ERRORS);
+            default -> new GroupCondition(1, USUAL_ERRORS);
+        };
+    }
+
+    private void observe(int server, Lane lane, long latencyNanos, int inFlight, Outcome outcome) {
+        mDetectors[server].observe(lane, latencyNanos, inFlight, outcome);
+        if (mCase.noise() == DetectionCase.Noise.ENTRY_NODE
+                && outcome == Outcome.OK
+                && mRandom.nextInt(ENTRY_NODES) == 0) {
+            mDetectors[server].observeEntryReport("entry-0", lane);
+        }
+        if (mErrorRules[server].observe(outcome)) {
+            record(1, server);
+        }
+        mLatencyRule.observe(server, lane, latencyNanos, outcome);
+    }
+
+    private void sendDigest(int server) {
+        HealthDigest digest = mDetectors[server].digest();
+        for (int count = 0; count < DIGEST_RECEIVERS; count++) {
+            int receiver = mRandom.nextInt(mServers.length);
+            if (receiver != server) {
+                mDetectors[receiver].observeDigest(mIds[server], digest);
+            }
+        }
+    }
+
+    private void evaluate(int server, double nowNanos) {
+        if (mDetectors[server].wantsProbe()) {
+            mServers[server].probe(nowNanos);
+            mResults[0].addProbe();
+        }
+        if (mDetectors[server].evaluate() instanceof Verdict.Sick) {
+            record(0, server);
+            mDetectors[server].restart();
+        }
+    }
+
+    private void judgeLatencies() {
+        boolean[] ejected = mLatencyRule.endSecond();
+        for (int server = 0; server < ejected.length; server++) {
+            if (ejected[server]) {
+                record(2, server);
+            }
+        }
+    }
+
+    private void record(int rule, int server) {
+        if (mServers[server].mFaulty) {
+            mResults[rule].recordDetection((mStep - mFaultStep) / (double) STEPS_PER_SECOND);
+        } else {
+            mResults[rule].addFalseEjection();
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/SimulatedServer.java
@@ -0,0 +1,194 @@
+package org.arbutuslock.testbed.bench;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.arbutuslock.internal.detection.HealthDetector;
+import org.arbutuslock.internal.detection.Lane;
+import org.arbutuslock.internal.detection.Outcome;
+
+/** A backend server with slots and an internal queue, and the queue of its home node. */
+final class SimulatedServer {
+    private static final double MILLI = 1e6;
+    private static final double SECOND = 1e9;
+    private static final double CANCEL_NANOS = 10 * SECOND;
+    private static final double LONGEST_QUEUE_NANOS = 2 * SECOND;
+    private static final double SHORT_MEDIAN_NANOS = 20 * MILLI;
+    private static final double PROBE_MEDIAN_NANOS = 25 * MILLI;
+    private static final double LONG_FACTOR = 20;
+    private static final double PLAIN_SIGMA = 0.6;
+
+    /** exp(1.29 * 2.33) = 20: the 99th percentile is 20 times the median. */
+    private static final double HEAVY_SIGMA = 1.29;
+
+    private static final double FAILING_SHARE = 0.3;
+    private static final double HANGING_SHARE = 0.2;
+    private static final double SLOW_FACTOR = 5;
+
+    private record Waiting(Lane lane, double sinceNanos) {}
+
+    private static final class Running {
+        Lane mLane;
+        double mDispatchedNanos;
+        double mEndNanos;
+        double mStallNanos;
+        int mInFlight;
+        Outcome mOutcome;
+        boolean mStalled;
+    }
+
+    /** Takes what the home node sees. */
+    interface Observer {
+        void observe(Lane lane, long latencyNanos, int inFlight, Outcome outcome);
+    }
+
+    private final DetectionCase mCase;
+    private final RandomGenerator mRandom;
+    private final double[] mSlotFreeNanos;
+    private final ArrayDeque<Waiting> mQueue = new ArrayDeque<>();
+    private final List<Running> mRunning = new ArrayList<>();
+    private final int mLimit;
+    private double mNextArrivalNanos;
+    private double mNextPauseNanos;
+    private double mPausedUntilNanos;
+    boolean mFaulty;
+
+    SimulatedServer(DetectionCase benchCase, RandomGenerator random) {
+        mCase = benchCase;
+        mRandom = random;
+        mSlotFreeNanos = new double[benchCase.slots()];
+        mLimit = 2 * benchCase.slots();
+        mNextPauseNanos = random.nextDouble(60) * SECOND;
+    }
+
+    void step(double nowNanos, double load, GroupCondition condition, Observer observer) {
+        pause(nowNanos);
+        arrive(nowNanos, load);
+        finish(nowNanos, observer);
+        while (!mQueue.isEmpty() && mRunning.size() < mLimit) {
+            Waiting next = mQueue.remove();
+            if (nowNanos - next.sinceNanos() < LONGEST_QUEUE_NANOS) {
+                dispatch(next.lane(), nowNanos, condition);
+            }
+        }
+    }
+
+    void probe(double nowNanos) {
+        mQueue.addFirst(new Waiting(Lane.PROBE, nowNanos));
+    }
+
+    private void pause(double nowNanos) {
+        if (mCase.noise() != DetectionCase.Noise.PAUSES || nowNanos < mNextPauseNanos) {
+            return;
+        }
+        double lengthNanos = mRandom.nextDouble(0.2, 1.5) * SECOND;
+        mPausedUntilNanos = nowNanos + lengthNanos;
+        mNextPauseNanos = nowNanos + mRandom.nextDouble(10, 50) * SECOND;
+        for (Running running : mRunning) {
+            running.mEndNanos += lengthNanos;
+        }
+        for (int slot = 0; slot < mSlotFreeNanos.length; slot++) {
+            mSlotFreeNanos[slot] = Math.max(mSlotFreeNanos[slot], nowNanos) + lengthNanos;
+        }
+    }
+
+    private void arrive(double nowNanos, double load) {
+        double perNano = mCase.requestsPerSecond() * load / SECOND;
+        while (mNextArrivalNanos <= nowNanos) {
+            double longShare = mCase.noise() == DetectionCase.Noise.MIXED ? 0.1 : 0.01;
+            Lane lane = mRandom.nextDouble() < longShare ? Lane.LONG : Lane.SHORT;
+            mQueue.add(new Waiting(lane, nowNanos));
+            mNextArrivalNanos += mRandom.nextExponential() / perNano;
+        }
+    }
+
+    /** Draws the next arrival again after a change of the load. */
+    void changeLoad(double nowNanos, double load) {
+        double perNano = mCase.requestsPerSecond() * load / SECOND;
+        mNextArrivalNanos = nowNanos + mRandom.nextExponential() / perNano;
+    }
+
+    private void finish(double nowNanos, Observer observer) {
+        for (int index = mRunning.size() - 1; index >= 0; index--) {
+            Running running = mRunning.get(index);
+            if (running.mEndNanos <= nowNanos) {
+                mRunning.remove(index);
+                report(running, observer);
+            } else if (!running.mStalled && nowNanos >= running.mStallNanos) {
+                running.mStalled = true;
+                observer.observe(running.mLane, 0, running.mInFlight, Outcome.STALLED);
+            }
+        }
+    }
+
+    private static void report(Running running, Observer observer) {
+        long latencyNanos = (long) (running.mEndNanos - running.mDispatchedNanos);
+        if (running.mOutcome == Outcome.TIMEOUT) {
+            return; // cancelled by the home node, which has reported it as stalled
+        }
+        boolean late = running.mStalled && running.mOutcome == Outcome.OK;
+        Outcome outcome = late ? Outcome.LATE : running.mOutcome;
+        observer.observe(running.mLane, latencyNanos, running.mInFlight, outcome);
+    }
+
+    private void dispatch(Lane lane, double nowNanos, GroupCondition condition) {
+        int slot = 0;
+        for (int other = 1; other < mSlotFreeNanos.length; other++) {
+            slot = mSlotFreeNanos[other] < mSlotFreeNanos[slot] ? other : slot;
+        }
+        Running running = new Running();
+        running.mLane = lane;
+        running.mDispatchedNanos = nowNanos;
+        running.mInFlight = mRunning.size();
+        running.mOutcome = drawOutcome(lane, condition);
+        double startNanos = Math.max(Math.max(nowNanos, mSlotFreeNanos[slot]), mPausedUntilNanos);
+        boolean hangs = running.mOutcome == Outcome.TIMEOUT;
+        double serviceNanos = drawService(lane) * slowness(condition);
+        running.mEndNanos = hangs ? nowNanos + CANCEL_NANOS : startNanos + serviceNanos;
+        mSlotFreeNanos[slot] = running.mEndNanos;
+        double turns = Math.max(1, (running.mInFlight + 1.0) / mCase.slots());
+        boolean progresses = lane == Lane.LONG && !hangs;
+        running.mStallNanos =
+                progresses ? Double.MAX_VALUE : nowNanos + turns * HealthDetector.STALL_NANOS;
+        mRunning.add(running);
+    }
+
+    private double slowness(GroupCondition condition) {
+        boolean slow = mFaulty && mCase.fault() == DetectionCase.Fault.SLOW;
+        return (slow ? SLOW_FACTOR : 1) * condition.slowness();
+    }
+
+    private double drawService(Lane lane) {
+        double sigma = mCase.noise() == DetectionCase.Noise.HEAVY_TAIL ? HEAVY_SIGMA : PLAIN_SIGMA;
+        double median =
+                switch (lane) {
+                    case SHORT -> SHORT_MEDIAN_NANOS;
+                    case LONG -> SHORT_MEDIAN_NANOS * LONG_FACTOR;
+                    case PROBE -> PROBE_MEDIAN_NANOS;
+                };
+        return median * Math.exp(sigma * mRandom.nextGaussian());
+    }
+
+    private Outcome drawOutcome(Lane lane, GroupCondition condition) {
+        double draw = mRandom.nextDouble();
+        if (mFaulty) {
+            Outcome faulty = drawFault(lane, draw);
+            if (faulty != Outcome.OK) {
+                return faulty;
+            }
+        }
+        return mRandom.nextDouble() < condition.errorShare() ? Outcome.WRONG : Outcome.OK;
+    }
+
+    private Outcome drawFault(Lane lane, double draw) {
+        return switch (mCase.fault()) {
+            case NONE, SLOW -> Outcome.OK;
+            case WRONG -> draw < FAILING_SHARE ? Outcome.WRONG : Outcome.OK;
+            case TRUNCATING -> draw < FAILING_SHARE ? Outcome.TRUNCATED : Outcome.OK;
+            case HANGING -> draw < HANGING_SHARE ? Outcome.TIMEOUT : Outcome.OK;
+            case MISREPORTING ->
+                    lane != Lane.PROBE && draw < FAILING_SHARE ? Outcome.WRONG : Outcome.OK;
+        };
+    }
+}
