Explain and drain backend servers of other nodes

Cause: a node could explain and drain only the backend servers of its own host; operators had to find the home node themselves.

Change: PeerMessage.Channel.OPERATORS carries a request to the home node and its reply, with a bounded MessagePack codec (at most 64 endpoints, 64 decisions, texts of 500 characters). The asking node waits 2 s, and 4 s for a drain, because the home node waits up to 2 s for the floor before it refuses and withdraws the drain. A request that was not handed to a session is reported as not sent and is never sent later; a missing reply is reported as unknown.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuard.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuard.java
@@ -13,6 +13,7 @@
     private final EndpointId mId;
     private final EjectionCoordinator mCoordinator;
     private boolean mDeparting;
+    private boolean mDrainRequested;
 
     EndpointGuard(EndpointId id, EjectionSettings settings, Clock clock, RandomGenerator random) {
         mId = id;
@@ -34,6 +35,20 @@
         return mCoordinator.depart(reason);
     }
 
+    List<EjectionAction> requestDrain(String reason) {
+        mDrainRequested = true;
+        return mCoordinator.requestDrain(reason);
+    }
+
+    List<EjectionAction> cancelDrain(String reason) {
+        mDrainRequested = false;
+        return mCoordinator.cancelDrain(reason);
+    }
+
+    boolean isDrainRequested() {
+        return mDrainRequested;
+    }
+
     boolean isDeparting() {
         return mDeparting;
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
@@ -262,13 +262,22 @@
             return mGuard.coordinator().state();
         }
 
+        /**
+         * Tells whether an operator's drain waits or is in effect.
+         *
+         * @return true until the drain is withdrawn
+         */
+        public boolean isDrainRequested() {
+            return mGuard.isDrainRequested();
+        }
+
         /**
          * Asks for a drain that waits until the floor allows it.
          *
          * @param reason who wants it and why
          */
         public void drain(String reason) {
-            apply(mGuard, mGuard.coordinator().requestDrain(reason));
+            apply(mGuard, mGuard.requestDrain(reason));
         }
 
         /**
@@ -277,7 +286,7 @@
          * @param reason who withdraws it and why
          */
         public void cancelDrain(String reason) {
-            apply(mGuard, mGuard.coordinator().cancelDrain(reason));
+            apply(mGuard, mGuard.cancelDrain(reason));
         }
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/EndpointCommands.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/EndpointCommands.java
@@ -8,6 +8,7 @@
 import org.arbutuslock.internal.membership.FleetSnapshot;
 import org.arbutuslock.internal.membership.NodeRecord;
 import org.arbutuslock.internal.operators.OperatorsReply;
+import org.arbutuslock.internal.operators.OperatorsRequest;
 import org.arbutuslock.v1.Decision;
 import org.arbutuslock.v1.DrainOutcome;
 import org.arbutuslock.v1.DrainResponse;
@@ -19,59 +20,85 @@
     private final String mNode;
     private final Supplier<FleetSnapshot> mFleet;
     private final HomeEndpoints mHome;
+    private final PeerEndpoints mPeers;
 
-    EndpointCommands(String node, Supplier<FleetSnapshot> fleet, HomeEndpoints home) {
+    EndpointCommands(
+            String node, Supplier<FleetSnapshot> fleet, HomeEndpoints home, PeerEndpoints peers) {
         mNode = node;
         mFleet = fleet;
         mHome = home;
+        mPeers = peers;
     }
 
     CompletableFuture<Result<ExplainResponse>> explain(String backendServer) {
-        if (mHome.has(backendServer)) {
-            return mHome.explain(backendServer)
-                    .thenApply(reply -> Result.success(format(backendServer, mNode, reply)));
-        }
         Optional<NodeRecord> home = findHome(backendServer);
-        return CompletableFuture.completedFuture(
-                home.isEmpty()
-                        ? Result.success(
-                                ExplainResponse.newBuilder()
-                                        .setBackendServer(backendServer)
-                                        .build())
-                        : Result.failed("explain " + backendServer, mNode, askInstead(home.get())));
+        if (home.isEmpty()) {
+            return CompletableFuture.completedFuture(
+                    Result.success(
+                            ExplainResponse.newBuilder().setBackendServer(backendServer).build()));
+        }
+        return ask(home.get(), OperatorsRequest.Action.EXPLAIN, backendServer)
+                .thenApply(answer -> formatExplanation(backendServer, home.get(), answer));
     }
 
     CompletableFuture<DrainResponse> drain(String backendServer) {
-        return mHome.has(backendServer)
-                ? mHome.drain(backendServer).thenApply(EndpointCommands::format)
-                : CompletableFuture.completedFuture(refuse(backendServer));
+        return change(OperatorsRequest.Action.DRAIN, backendServer);
     }
 
     CompletableFuture<DrainResponse> undrain(String backendServer) {
-        return mHome.has(backendServer)
-                ? mHome.undrain(backendServer).thenApply(EndpointCommands::format)
-                : CompletableFuture.completedFuture(refuse(backendServer));
+        return change(OperatorsRequest.Action.UNDRAIN, backendServer);
+    }
+
+    private CompletableFuture<DrainResponse> change(
+            OperatorsRequest.Action action, String backendServer) {
+        Optional<NodeRecord> home = findHome(backendServer);
+        if (home.isEmpty()) {
+            return CompletableFuture.completedFuture(
+                    respond(
+                            DrainOutcome.DRAIN_OUTCOME_NOT_FOUND,
+                            "no node that "
+                                    + mNode
+                                    + " knows has the backend server "
+                                    + backendServer));
+        }
+        return ask(home.get(), action, backendServer)
+                .thenApply(answer -> formatChange(home.get(), answer));
+    }
+
+    private CompletableFuture<PeerEndpoints.Answer> ask(
+            NodeRecord home, OperatorsRequest.Action action, String backendServer) {
+        return home.node().equals(mNode)
+                ? mHome.handle(action, backendServer).thenApply(PeerEndpoints.Answer.Replied::new)
+                : mPeers.ask(home, action, backendServer);
     }
 
-    private DrainResponse refuse(String backendServer) {
-        return findHome(backendServer)
-                .map(
-                        home ->
-                                respond(
-                                        DrainOutcome.DRAIN_OUTCOME_HOME_NODE_UNAVAILABLE,
-                                        askInstead(home)))
-                .orElseGet(
-                        () ->
-                                respond(
-                                        DrainOutcome.DRAIN_OUTCOME_NOT_FOUND,
-                                        "no node that "
-                                                + mNode
-                                                + " knows has the backend server "
-                                                + backendServer));
+    private static Result<ExplainResponse> formatExplanation(
+            String backendServer, NodeRecord home, PeerEndpoints.Answer answer) {
+        String step = "explain " + backendServer;
+        return switch (answer) {
+            case PeerEndpoints.Answer.Replied(OperatorsReply reply) ->
+                    reply.outcome() == OperatorsReply.Outcome.BUSY
+                            ? Result.failed(step, home.node(), reply.reason())
+                            : Result.success(format(backendServer, home.node(), reply));
+            case PeerEndpoints.Answer.NotSent(String reason) ->
+                    Result.failed(step, home.node(), reason);
+            case PeerEndpoints.Answer.Lost(String reason) ->
+                    Result.failed(step, home.node(), reason);
+        };
     }
 
-    private static String askInstead(NodeRecord home) {
-        return "its home node is " + home.node() + "; call that node's operators address";
+    private static DrainResponse formatChange(NodeRecord home, PeerEndpoints.Answer answer) {
+        return switch (answer) {
+            case PeerEndpoints.Answer.Replied(OperatorsReply reply) -> format(reply);
+            case PeerEndpoints.Answer.NotSent(String reason) ->
+                    respond(
+                            DrainOutcome.DRAIN_OUTCOME_HOME_NODE_UNAVAILABLE,
+                            "home node " + home.node() + " was not reached: " + reason);
+            case PeerEndpoints.Answer.Lost(String reason) ->
+                    respond(
+                            DrainOutcome.DRAIN_OUTCOME_UNKNOWN,
+                            "home node " + home.node() + " was asked: " + reason);
+        };
     }
 
     private static DrainResponse respond(DrainOutcome outcome, String reason) {
@@ -134,6 +161,7 @@
                                     case REFUSED_BY_FLOOR ->
                                             DrainOutcome.DRAIN_OUTCOME_REFUSED_BY_FLOOR;
                                     case NOT_FOUND -> DrainOutcome.DRAIN_OUTCOME_NOT_FOUND;
+                                    case BUSY -> DrainOutcome.DRAIN_OUTCOME_HOME_NODE_UNAVAILABLE;
                                     case DESCRIBED -> DrainOutcome.DRAIN_OUTCOME_UNKNOWN;
                                 })
                         .setReason(reply.reason());
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/HomeEndpoints.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/HomeEndpoints.java
@@ -16,6 +16,7 @@
 import org.arbutuslock.internal.ejection.EndpointState;
 import org.arbutuslock.internal.membership.EndpointRecord;
 import org.arbutuslock.internal.operators.OperatorsReply;
+import org.arbutuslock.internal.operators.OperatorsRequest;
 
 /** Explains, drains and undrains the backend servers of this host. */
 final class HomeEndpoints {
@@ -24,6 +25,10 @@
 
     private static final Duration DRAIN_POLL = Duration.ofMillis(100);
     private static final int MAXIMUM_DECISIONS = 64;
+
+    /** Replies that cross the wire get the number of their request there. */
+    private static final long NO_NUMBER = 0;
+
     private static final String WITHDRAWN = "operator: the floor held the drain back for 2 s";
 
     private final LocalEndpoints mEndpoints;
@@ -42,14 +47,22 @@
         return !idsOf(backendServer).isEmpty();
     }
 
-    CompletableFuture<OperatorsReply> explain(String backendServer) {
+    CompletableFuture<OperatorsReply> handle(OperatorsRequest.Action action, String backendServer) {
+        return switch (action) {
+            case EXPLAIN -> explain(backendServer);
+            case DRAIN -> drain(backendServer);
+            case UNDRAIN -> undrain(backendServer);
+        };
+    }
+
+    private CompletableFuture<OperatorsReply> explain(String backendServer) {
         if (!has(backendServer)) {
             return CompletableFuture.completedFuture(notFound(backendServer));
         }
         return reply(backendServer, OperatorsReply.Outcome.DESCRIBED, "");
     }
 
-    CompletableFuture<OperatorsReply> drain(String backendServer) {
+    private CompletableFuture<OperatorsReply> drain(String backendServer) {
         List<EndpointId> ids = idsOf(backendServer);
         if (ids.isEmpty()) {
             return CompletableFuture.completedFuture(notFound(backendServer));
@@ -131,7 +144,7 @@
                 : newest.reason() + ", " + newest.evidence();
     }
 
-    CompletableFuture<OperatorsReply> undrain(String backendServer) {
+    private CompletableFuture<OperatorsReply> undrain(String backendServer) {
         List<EndpointId> ids = idsOf(backendServer);
         if (ids.isEmpty()) {
             return CompletableFuture.completedFuture(notFound(backendServer));
@@ -186,7 +199,11 @@
                 .thenApply(
                         lists ->
                                 new OperatorsReply(
-                                        outcome, reason, recordsOf(backendServer), merge(lists)));
+                                        NO_NUMBER,
+                                        outcome,
+                                        reason,
+                                        recordsOf(backendServer),
+                                        merge(lists)));
     }
 
     private static List<OperatorsReply.EndpointDecision> merge(
@@ -204,6 +221,7 @@
 
     private static OperatorsReply notFound(String backendServer) {
         return new OperatorsReply(
+                NO_NUMBER,
                 OperatorsReply.Outcome.NOT_FOUND,
                 backendServer + " has no endpoint on this host",
                 List.of(),
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OperatorsPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OperatorsPlugin.java
@@ -18,10 +18,14 @@
 import org.arbutuslock.daemon.internal.fleet.FleetPlugin;
 import org.arbutuslock.daemon.internal.home.HomePlugin;
 import org.arbutuslock.daemon.internal.home.LocalEndpoints;
+import org.arbutuslock.daemon.internal.sessions.ChannelMessages;
+import org.arbutuslock.daemon.internal.sessions.PeerLinks;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
 import org.arbutuslock.daemon.internal.store.MonitoredStore;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.configuration.ConfigurationLog;
+import org.arbutuslock.internal.configuration.RetryTimer;
+import org.arbutuslock.internal.messages.PeerMessage;
 import org.arbutuslock.internal.settings.NodeSettings;
 
 /** Serves operators at the operators' address. */
@@ -73,19 +77,24 @@
         ConfigurationHolder holder = context.require(ConfigurationHolder.class);
         FleetDirectory fleet = context.require(FleetDirectory.class);
         EventLoop eventLoop = context.require(EventLoopGroup.class).next();
+        RetryTimer timer =
+                (delay, task) -> eventLoop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
         HomeEndpoints home =
                 new HomeEndpoints(
                         context.require(LocalEndpoints.class),
                         context.require(EndpointGuards.class),
                         clock,
-                        (delay, task) ->
-                                eventLoop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS));
+                        timer);
+        PeerEndpoints peers =
+                new PeerEndpoints(context.require(PeerLinks.class)::trySend, home, timer);
+        context.require(ChannelMessages.class)
+                .listen(PeerMessage.Channel.OPERATORS, peers::receive);
         return new NodeOperatorsBackend(
                 new ChangeCommands(log, holder, clock),
                 new ConfigurationQueries(log, holder, settings.nodeName()),
                 new FleetQueries(
                         settings, fleet::current, holder, context.require(MonitoredStore.class)),
-                new EndpointCommands(settings.nodeName(), fleet::current, home));
+                new EndpointCommands(settings.nodeName(), fleet::current, home, peers));
     }
 
     @Override
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLinks.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLinks.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.RequestId;
@@ -121,6 +122,41 @@
                         session -> session.send(new PeerMessage.ChannelMessage(channel, payload)));
     }
 
+    /**
+     * Sends a message of a plug-in and tells whether it may have reached the other node.
+     *
+     * @param peerAddress address of the other node
+     * @param node expected name of the other node
+     * @param channel channel of the plug-in
+     * @param payload encoded message
+     * @param wanted asked once a session is open; the message is not sent when it is false
+     * @return empty when the message was handed to a session, otherwise why it was not sent
+     */
+    public CompletableFuture<Optional<String>> trySend(
+            String peerAddress,
+            String node,
+            PeerMessage.Channel channel,
+            byte[] payload,
+            BooleanSupplier wanted) {
+        return link(peerAddress)
+                .session()
+                .handle(
+                        (session, error) -> {
+                            if (error != null) {
+                                return Optional.of(error.getMessage());
+                            }
+                            String found = session.remote().node();
+                            if (!found.equals(node)) {
+                                return Optional.of("found node " + found);
+                            }
+                            if (!session.isOpen() || !wanted.getAsBoolean()) {
+                                return Optional.of("the session was not open in time");
+                            }
+                            session.send(new PeerMessage.ChannelMessage(channel, payload));
+                            return Optional.empty();
+                        });
+    }
+
     /** Closes all sessions. */
     public void close() {
         mLinks.values().forEach(PeerLink::close);
--- /dev/null
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/operators/PeerEndpointsTest.java
@@ -0,0 +1,66 @@
+package org.arbutuslock.daemon.internal.operators;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.arbutuslock.internal.membership.NodeRecord;
+import org.arbutuslock.internal.operators.OperatorsMessageCodec;
+import org.arbutuslock.internal.operators.OperatorsReply;
+import org.arbutuslock.internal.operators.OperatorsRequest;
+import org.testng.annotations.Test;
+
+/** Guards against a guess about a drain whose request or reply was lost. */
+public class PeerEndpointsTest {
+    private static final NodeRecord HOME =
+            new NodeRecord("regina-b-1", 1, 1, "127.0.0.1:1", "", "", 1, false, List.of());
+
+    private final List<Runnable> mTimers = new ArrayList<>();
+    private final CompletableFuture<Optional<String>> mSent = new CompletableFuture<>();
+    private BooleanSupplier mWanted;
+    private final PeerEndpoints mPeers =
+            new PeerEndpoints(
+                    (address, node, channel, payload, wanted) -> {
+                        mWanted = wanted;
+                        return mSent;
+                    },
+                    null,
+                    (delay, task) -> mTimers.add(task));
+
+    @Test
+    public void should_tell_a_lost_reply_from_a_request_that_was_not_sent() throws Exception {
+        var lost = ask();
+        assertTrue(mWanted.getAsBoolean());
+        expire();
+        assertTrue(lost.join() instanceof PeerEndpoints.Answer.Lost, lost.join().toString());
+
+        var late = ask();
+        expire();
+        assertTrue(late.join() instanceof PeerEndpoints.Answer.NotSent);
+        assertFalse(mWanted.getAsBoolean(), "sent after it was reported as not sent");
+
+        var replied = ask();
+        assertTrue(mWanted.getAsBoolean());
+        OperatorsReply reply =
+                new OperatorsReply(3, OperatorsReply.Outcome.ACCEPTED, "", List.of(), List.of());
+        byte[] encoded = OperatorsMessageCodec.encode(reply);
+        mPeers.receive("another-node", encoded, ignored -> {});
+        assertFalse(replied.isDone(), "a reply of another node was taken");
+        mPeers.receive(HOME.node(), encoded, ignored -> {});
+        assertEquals(replied.join(), new PeerEndpoints.Answer.Replied(reply));
+    }
+
+    private CompletableFuture<PeerEndpoints.Answer> ask() {
+        return mPeers.ask(HOME, OperatorsRequest.Action.DRAIN, "order-hub-1");
+    }
+
+    private void expire() {
+        mTimers.forEach(Runnable::run);
+        mTimers.clear();
+    }
+}
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
@@ -216,6 +216,8 @@
         /** Node records and their digests. */
         MEMBERSHIP,
         /** Configuration changes and snapshots. */
-        CONFIGURATION
+        CONFIGURATION,
+        /** Requests of operators about the backend servers of another node. */
+        OPERATORS
     }
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/operators/OperatorsReply.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/operators/OperatorsReply.java
@@ -8,16 +8,19 @@
 /**
  * What a home node did with a request about one of its backend servers.
  *
+ * @param number number of the request
  * @param outcome what became of the request
  * @param reason what happened and what to do next, or empty
  * @param endpoints endpoints of the backend server after the request
  * @param decisions newest decisions about them, newest first
  */
 public record OperatorsReply(
+        long number,
         Outcome outcome,
         String reason,
         List<EndpointRecord> endpoints,
-        List<EndpointDecision> decisions) {
+        List<EndpointDecision> decisions)
+        implements OperatorsMessage {
     /** Copies the lists. */
     public OperatorsReply {
         endpoints = List.copyOf(endpoints);
@@ -35,7 +38,9 @@
         /** The floor of a service does not allow it now; it was withdrawn. */
         REFUSED_BY_FLOOR,
         /** The backend server is not on this host, or it leaves for good. */
-        NOT_FOUND
+        NOT_FOUND,
+        /** The home node handles too many requests of operators; nothing was changed. */
+        BUSY
     }
 
     /**
--- a/testbed/src/test/java/org/arbutuslock/testbed/fleet/OperatorsFleetTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/fleet/OperatorsFleetTest.java
@@ -3,22 +3,11 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.BufferedReader;
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
-import java.io.StringReader;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
-import java.util.Map;
-import java.util.stream.Stream;
-import org.arbutuslock.cli.internal.Application;
-import org.arbutuslock.cli.internal.Output;
-import org.arbutuslock.cli.internal.Pacing;
 import org.arbutuslock.platform.v1.StoreFaults;
 import org.arbutuslock.testbed.backend.WorkTimes;
 import org.testng.annotations.AfterMethod;
@@ -37,8 +26,6 @@
     private final HttpClient mClient = HttpClient.newHttpClient();
     private InProcessFleet mFleet;
 
-    private record Run(int code, String text) {}
-
     @BeforeMethod
     public void startFleet() throws Exception {
         System.out.println("OperatorsFleetTest arbutuslock.seed=" + SEED);
@@ -107,7 +94,7 @@
     public void should_refuse_changes_while_the_store_is_down_and_serve_requests()
             throws Exception {
         mFleet.store().setFaults(StoreFaults.newBuilder().setDown(true).build());
-        Run change = run(FIRST, "route", "change", "orders", "--priority", "3");
+        CommandRun change = run(FIRST, "route", "change", "orders", "--priority", "3");
         assertTrue(expect(UNAVAILABLE, change).text().contains("refused: the store"), "" + change);
         assertEquals(send(SECOND), 200);
         expect(0, run(FIRST, "route", "list"));
@@ -118,7 +105,7 @@
     @Test
     public void should_accept_a_change_whose_store_response_is_lost() {
         mFleet.store().setFaults(StoreFaults.newBuilder().setLostResponseShare(1).build());
-        Run change = run(FIRST, "route", "change", "orders", "--priority", "3");
+        CommandRun change = run(FIRST, "route", "change", "orders", "--priority", "3");
         assertTrue(expect(0, change).text().contains("accepted as revision 4"), "" + change);
     }
 
@@ -130,14 +117,15 @@
                                 .setLateWriteShare(1)
                                 .setLateWriteMillis(2_500)
                                 .build());
-        Run change = run(FIRST, "--timeout", "1", "route", "change", "orders", "--priority", "3");
+        CommandRun change =
+                run(FIRST, "--timeout", "1", "route", "change", "orders", "--priority", "3");
         String id = expect(UNKNOWN, change).text().lines().findFirst().orElseThrow().substring(10);
-        Run before = run(SECOND, "outcome", id);
+        CommandRun before = run(SECOND, "outcome", id);
         assertTrue(before.code() == 0 || before.code() == UNKNOWN, before.toString());
         InProcessFleet.await("acceptance", () -> run(SECOND, "outcome", id).code() == 0);
     }
 
-    private Run createService(String name) {
+    private CommandRun createService(String name) {
         return run(
                 FIRST,
                 "service",
@@ -151,28 +139,12 @@
                 "5");
     }
 
-    private Run run(String node, String... arguments) {
-        InetSocketAddress address = mFleet.settings(node).operators().address();
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        PrintStream stream = new PrintStream(bytes, true, StandardCharsets.UTF_8);
-        Application application =
-                new Application(
-                        new Output(stream, stream, false),
-                        new BufferedReader(new StringReader("")),
-                        Map.of(),
-                        Pacing.system());
-        String[] all =
-                Stream.concat(
-                                Stream.of("--address", "127.0.0.1:" + address.getPort()),
-                                Arrays.stream(arguments))
-                        .toArray(String[]::new);
-        int code = application.run(all);
-        return new Run(code, bytes.toString(StandardCharsets.UTF_8));
+    private CommandRun run(String node, String... arguments) {
+        return CommandRun.run(mFleet, node, arguments);
     }
 
-    private static Run expect(int code, Run run) {
-        assertEquals(run.code(), code, run.text());
-        return run;
+    private static CommandRun expect(int code, CommandRun run) {
+        return run.expect(code);
     }
 
     private long executions(String backendServer) {
