--- a/kernel/src/main/java/org/arbutuslock/internal/membership/NodeRecord.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/NodeRecord.java
@@ -43,4 +43,30 @@
         }
         return version > other.version;
     }
+
+    NodeRecord withVersion(long newVersion) {
+        return new NodeRecord(
+                node,
+                incarnation,
+                newVersion,
+                peerAddress,
+                region,
+                availabilityZone,
+                configurationRevision,
+                draining,
+                endpoints);
+    }
+
+    NodeRecord with(List<EndpointRecord> newEndpoints, long newRevision, boolean newDraining) {
+        return new NodeRecord(
+                node,
+                incarnation,
+                version,
+                peerAddress,
+                region,
+                availabilityZone,
+                newRevision,
+                newDraining,
+                newEndpoints);
+    }
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/membership/NodeRecordCodec.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/NodeRecordCodec.java
@@ -8,7 +8,10 @@
 import org.arbutuslock.internal.messages.MessageReader;
 import org.arbutuslock.internal.messages.MessageWriter;
 
-/** Encodes node records with MessagePack. */
+/**
+ * Encodes node records with MessagePack. Names of services, regions and zones are interned, since
+ * many records share them.
+ */
 public final class NodeRecordCodec {
     /** Most endpoints that one node fronts. */
     public static final int MAXIMUM_ENDPOINTS = 1_024;
@@ -62,8 +65,8 @@
                 reader.readLong("incarnation", Long.MIN_VALUE, Long.MAX_VALUE),
                 reader.readLong("version", 0, Long.MAX_VALUE),
                 reader.readString("peerAddress", MAXIMUM_NAME_BYTES),
-                reader.readString("region", MAXIMUM_NAME_BYTES),
-                reader.readString("availabilityZone", MAXIMUM_NAME_BYTES),
+                reader.readString("region", MAXIMUM_NAME_BYTES).intern(),
+                reader.readString("availabilityZone", MAXIMUM_NAME_BYTES).intern(),
                 reader.readLong("configurationRevision", 0, Long.MAX_VALUE),
                 reader.readBoolean("draining"),
                 readEndpoints(reader));
@@ -77,7 +80,7 @@
             expectFields(reader, "endpoint", ENDPOINT_FIELDS);
             EndpointId id =
                     new EndpointId(
-                            reader.readString("service", MAXIMUM_NAME_BYTES),
+                            reader.readString("service", MAXIMUM_NAME_BYTES).intern(),
                             reader.readString("backendServer", MAXIMUM_NAME_BYTES));
             endpoints.add(
                     new EndpointRecord(
