--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/FleetDirectory.java
@@ -56,7 +56,7 @@
                 }
             }
             if (!newer.isEmpty()) {
-                mSnapshot.set(new FleetSnapshot(List.copyOf(mRecords.values())));
+                mSnapshot.set(mSnapshot.get().with(newer, List.of()));
             }
         }
         if (!newer.isEmpty()) {
@@ -75,7 +75,7 @@
         synchronized (this) {
             removed = mRecords.remove(record.node(), record);
             if (removed) {
-                mSnapshot.set(new FleetSnapshot(List.copyOf(mRecords.values())));
+                mSnapshot.set(mSnapshot.get().with(List.of(), List.of(record.node())));
             }
         }
         if (removed) {
--- a/kernel/src/main/java/org/arbutuslock/internal/membership/FleetSnapshot.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/FleetSnapshot.java
@@ -1,54 +1,114 @@
 package org.arbutuslock.internal.membership;
 
+import io.vavr.collection.HashMap;
+import java.util.AbstractCollection;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.agrona.collections.Object2ObjectHashMap;
+import java.util.Set;
 import org.arbutuslock.api.EndpointId;
 
 /**
- * Immutable view of all nodes and endpoints that a node knows.
+ * Immutable view of all nodes and endpoints that a node knows. A changed view shares everything
+ * with the earlier one but the nodes and services that changed.
  *
  * <pre>{@code
- * for (FleetSnapshot.Member member : snapshot.membersOf("order-hub")) { ... }
+ * FleetSnapshot changed = snapshot.with(List.of(newRecord), Set.of("calgary-a-3"));
+ * for (FleetSnapshot.Member member : changed.membersOf("order-hub")) { ... }
  * }</pre>
  */
 public final class FleetSnapshot {
     /** View of a node that knows nobody. */
-    public static final FleetSnapshot EMPTY = new FleetSnapshot(List.of());
+    public static final FleetSnapshot EMPTY = new FleetSnapshot(HashMap.empty(), HashMap.empty());
 
-    private final Map<String, NodeRecord> mNodes;
-    private final Map<String, List<Member>> mServices;
+    private final HashMap<String, NodeRecord> mNodes;
+    private final HashMap<String, List<Member>> mServices;
+
+    private FleetSnapshot(
+            HashMap<String, NodeRecord> nodes, HashMap<String, List<Member>> services) {
+        mNodes = nodes;
+        mServices = services;
+    }
 
     /**
      * Builds a view.
      *
      * @param records one record for each live node
+     * @return the view
+     */
+    public static FleetSnapshot of(Collection<NodeRecord> records) {
+        return EMPTY.with(records, Set.of());
+    }
+
+    /**
+     * Builds a view with changes. Each service that a change concerns is copied once.
+     *
+     * @param changed records of new nodes and newer records of known nodes, one for each node
+     * @param gone names of nodes to remove
+     * @return the changed view
      */
-    public FleetSnapshot(Collection<NodeRecord> records) {
-        mNodes = new Object2ObjectHashMap<>();
-        Map<String, List<Member>> services = new HashMap<>();
-        for (NodeRecord node : records) {
-            mNodes.put(node.node(), node);
-            for (EndpointRecord endpoint : node.endpoints()) {
-                services.computeIfAbsent(endpoint.id().service(), name -> new ArrayList<>())
-                        .add(new Member(node, endpoint));
+    public FleetSnapshot with(Collection<NodeRecord> changed, Collection<String> gone) {
+        Set<String> replaced = new HashSet<>(gone);
+        Map<String, List<Member>> added = new java.util.HashMap<>();
+        HashMap<String, NodeRecord> nodes = mNodes.removeAll(gone);
+        for (NodeRecord record : changed) {
+            replaced.add(record.node());
+            nodes = nodes.put(record.node(), record);
+            for (EndpointRecord endpoint : record.endpoints()) {
+                added.computeIfAbsent(endpoint.id().service(), name -> new ArrayList<>())
+                        .add(new Member(record, endpoint));
             }
         }
-        mServices = new Object2ObjectHashMap<>();
-        services.forEach((name, members) -> mServices.put(name, List.copyOf(members)));
+        Set<String> services = new HashSet<>(added.keySet());
+        replaced.forEach(node -> services.addAll(servicesOf(node)));
+        HashMap<String, List<Member>> members = mServices;
+        for (String service : services) {
+            members = replaceMembers(members, service, replaced, added);
+        }
+        return new FleetSnapshot(nodes, members);
+    }
+
+    private List<String> servicesOf(String node) {
+        return findNode(node).stream()
+                .flatMap(record -> record.endpoints().stream())
+                .map(endpoint -> endpoint.id().service())
+                .toList();
+    }
+
+    private HashMap<String, List<Member>> replaceMembers(
+            HashMap<String, List<Member>> members,
+            String service,
+            Set<String> replaced,
+            Map<String, List<Member>> added) {
+        List<Member> current = new ArrayList<>(membersOf(service));
+        current.removeIf(member -> replaced.contains(member.node().node()));
+        current.addAll(added.getOrDefault(service, List.of()));
+        return current.isEmpty()
+                ? members.remove(service)
+                : members.put(service, List.copyOf(current));
     }
 
     /**
      * Returns all nodes.
      *
-     * @return records by node name
+     * @return records in no particular order
      */
     public Collection<NodeRecord> nodes() {
-        return mNodes.values();
+        return new AbstractCollection<>() {
+            @Override
+            public Iterator<NodeRecord> iterator() {
+                return mNodes.valuesIterator();
+            }
+
+            @Override
+            public int size() {
+                return mNodes.size();
+            }
+        };
     }
 
     /**
@@ -58,7 +118,7 @@
      * @return its record, or empty when it is not known
      */
     public Optional<NodeRecord> findNode(String name) {
-        return Optional.ofNullable(mNodes.get(name));
+        return mNodes.get(name).toJavaOptional();
     }
 
     /**
@@ -68,7 +128,7 @@
      * @return endpoints in all states; empty for an unknown service
      */
     public List<Member> membersOf(String service) {
-        return mServices.getOrDefault(service, List.of());
+        return mServices.getOrElse(service, List.of());
     }
 
     /**
