Use gossip for node records in the daemon

Cause: RecordExchange sent all records to all nodes every 500 ms.

Messages are decoded on the session's event loop, so that a malformed one still closes that session. A changed endpoint is announced at once. A node that drained announces its departure when it stops; after that its protocol does nothing.

Events 6003 to 6006 are new.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/FleetDirectory.java
@@ -1,22 +1,23 @@
 package org.arbutuslock.daemon.internal.fleet;
 
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.arbutuslock.internal.membership.FleetSnapshot;
+import org.arbutuslock.internal.membership.GossipAction;
 import org.arbutuslock.internal.membership.NodeRecord;
 
-/** Newest known record of each node, published as a snapshot for the path of requests. */
+/**
+ * Publishes the view of the fleet for the path of requests. One thread applies changes; any thread
+ * reads.
+ */
 public final class FleetDirectory {
-    private final Map<String, NodeRecord> mRecords = new HashMap<>();
-    private final AtomicReference<FleetSnapshot> mSnapshot =
-            new AtomicReference<>(FleetSnapshot.EMPTY);
     private final List<Consumer<FleetSnapshot>> mListeners = new CopyOnWriteArrayList<>();
+    private volatile FleetSnapshot mSnapshot = FleetSnapshot.EMPTY;
 
     /** Creates an empty directory. */
     public FleetDirectory() {}
@@ -27,7 +28,7 @@
      * @return immutable snapshot
      */
     public FleetSnapshot current() {
-        return mSnapshot.get();
+        return mSnapshot;
     }
 
     /**
@@ -40,51 +41,31 @@
     }
 
     /**
-     * Adds records that are newer than the known ones.
+     * Applies the changes of nodes among some actions with one new snapshot. Calls must not
+     * overlap.
      *
-     * @param records records of any nodes
-     * @return records that were newer
+     * @param actions actions of the membership protocol
      */
-    public List<NodeRecord> merge(Collection<NodeRecord> records) {
-        List<NodeRecord> newer = new ArrayList<>();
-        synchronized (this) {
-            for (NodeRecord record : records) {
-                NodeRecord known = mRecords.get(record.node());
-                if (known == null || record.isNewerThan(known)) {
-                    mRecords.put(record.node(), record);
-                    newer.add(record);
+    void apply(List<GossipAction> actions) {
+        Map<String, NodeRecord> changed = new HashMap<>();
+        Set<String> gone = new HashSet<>();
+        for (GossipAction action : actions) {
+            switch (action) {
+                case GossipAction.Joined(NodeRecord record) -> changed.put(record.node(), record);
+                case GossipAction.Changed(NodeRecord record) -> changed.put(record.node(), record);
+                case GossipAction.Left(NodeRecord record) -> {
+                    changed.remove(record.node());
+                    gone.add(record.node());
                 }
-            }
-            if (!newer.isEmpty()) {
-                mSnapshot.set(mSnapshot.get().with(newer, List.of()));
+                default -> {}
             }
         }
-        if (!newer.isEmpty()) {
-            notifyListeners();
+        gone.removeAll(changed.keySet());
+        if (changed.isEmpty() && gone.isEmpty()) {
+            return;
         }
-        return newer;
-    }
-
-    /**
-     * Removes a node if its record has not been replaced.
-     *
-     * @param record record of the node that is gone
-     */
-    public void remove(NodeRecord record) {
-        boolean removed;
-        synchronized (this) {
-            removed = mRecords.remove(record.node(), record);
-            if (removed) {
-                mSnapshot.set(mSnapshot.get().with(List.of(), List.of(record.node())));
-            }
-        }
-        if (removed) {
-            notifyListeners();
-        }
-    }
-
-    private void notifyListeners() {
-        FleetSnapshot snapshot = mSnapshot.get();
+        FleetSnapshot snapshot = mSnapshot.with(changed.values(), gone);
+        mSnapshot = snapshot;
         mListeners.forEach(listener -> listener.accept(snapshot));
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/FleetPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/FleetPlugin.java
@@ -1,11 +1,9 @@
 package org.arbutuslock.daemon.internal.fleet;
 
-import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
+import java.util.SplittableRandom;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.Plugin;
 import org.arbutuslock.api.PluginContext;
@@ -18,6 +16,9 @@
 import org.arbutuslock.daemon.internal.sessions.PeerLinks;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.membership.GossipProtocol;
+import org.arbutuslock.internal.membership.GossipSettings;
+import org.arbutuslock.internal.membership.NodeRecord;
 import org.arbutuslock.internal.messages.PeerMessage;
 import org.arbutuslock.internal.settings.NodeSettings;
 
@@ -26,8 +27,7 @@
     /** Name of this plug-in. */
     public static final String NAME = "fleet";
 
-    private RecordExchange mExchange;
-    private Future<?> mTicks;
+    private GossipRunner mRunner;
 
     /** Creates the plug-in; called by the service loader. */
     public FleetPlugin() {}
@@ -47,15 +47,10 @@
         FleetDirectory directory = new FleetDirectory();
         LocalEndpoints endpoints = context.require(LocalEndpoints.class);
         ConfigurationHolder configuration = context.require(ConfigurationHolder.class);
-        List<String> seeds =
-                context.require(NodeSettings.class).peers().seeds().stream()
-                        .map(Addresses::format)
-                        .toList();
-        mExchange =
-                new RecordExchange(
-                        context.require(LocalNode.class),
-                        context.require(Clock.class),
-                        seeds,
+        mRunner =
+                new GossipRunner(
+                        createProtocol(context),
+                        context.require(EventLoopGroup.class).next(),
                         context.require(PeerLinks.class),
                         directory,
                         endpoints::records,
@@ -63,23 +58,44 @@
         context.require(ChannelMessages.class)
                 .listen(
                         PeerMessage.Channel.MEMBERSHIP,
-                        (node, payload, reply) -> mExchange.receive(payload));
-        EventLoop eventLoop = context.require(EventLoopGroup.class).next();
-        endpoints.addListener(change -> eventLoop.execute(mExchange::tick));
-        long interval = RecordExchange.INTERVAL.toMillis();
-        mTicks =
-                eventLoop.scheduleWithFixedDelay(
-                        mExchange::tick, 0, interval, TimeUnit.MILLISECONDS);
+                        (node, payload, reply) -> mRunner.receive(payload));
+        endpoints.addListener(change -> mRunner.update());
+        mRunner.start();
         context.provide(FleetDirectory.class, directory);
     }
 
+    private static GossipProtocol createProtocol(PluginContext context) throws PluginException {
+        LocalNode localNode = context.require(LocalNode.class);
+        NodeRecord record =
+                new NodeRecord(
+                        localNode.name(),
+                        localNode.incarnation(),
+                        0,
+                        localNode.peerAddress(),
+                        localNode.region(),
+                        localNode.availabilityZone(),
+                        0,
+                        false,
+                        List.of());
+        List<String> seeds =
+                context.require(NodeSettings.class).peers().seeds().stream()
+                        .map(Addresses::format)
+                        .toList();
+        return new GossipProtocol(
+                record,
+                seeds,
+                GossipSettings.DEFAULT,
+                context.require(Clock.class),
+                new SplittableRandom(localNode.incarnation() ^ localNode.name().hashCode()));
+    }
+
     @Override
     public void drain() {
-        mExchange.drain();
+        mRunner.drain();
     }
 
     @Override
     public void stop() {
-        mTicks.cancel(false);
+        mRunner.stop();
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/GossipRunner.java
@@ -0,0 +1,145 @@
+package org.arbutuslock.daemon.internal.fleet;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.arbutuslock.daemon.internal.sessions.PeerLinks;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.membership.EndpointRecord;
+import org.arbutuslock.internal.membership.GossipAction;
+import org.arbutuslock.internal.membership.GossipMessage;
+import org.arbutuslock.internal.membership.GossipMessageCodec;
+import org.arbutuslock.internal.membership.GossipProtocol;
+import org.arbutuslock.internal.membership.NodeRecord;
+import org.arbutuslock.internal.messages.MessageFormatException;
+import org.arbutuslock.internal.messages.PeerMessage;
+
+/** Runs the membership protocol on one event loop and carries out its actions. */
+final class GossipRunner {
+    private static final EventLogger LOGGER = EventLogger.forComponent("fleet");
+    private static final Duration STOP_LIMIT = Duration.ofMillis(500);
+
+    private final GossipProtocol mProtocol;
+    private final EventLoop mEventLoop;
+    private final PeerLinks mLinks;
+    private final FleetDirectory mDirectory;
+    private final Supplier<List<EndpointRecord>> mEndpoints;
+    private final LongSupplier mRevision;
+    private Future<?> mTicks;
+
+    GossipRunner(
+            GossipProtocol protocol,
+            EventLoop eventLoop,
+            PeerLinks links,
+            FleetDirectory directory,
+            Supplier<List<EndpointRecord>> endpoints,
+            LongSupplier revision) {
+        mProtocol = protocol;
+        mEventLoop = eventLoop;
+        mLinks = links;
+        mDirectory = directory;
+        mEndpoints = endpoints;
+        mRevision = revision;
+    }
+
+    void start() {
+        long interval = GossipProtocol.TICK_INTERVAL.toMillis();
+        mTicks = mEventLoop.scheduleWithFixedDelay(this::tick, 0, interval, TimeUnit.MILLISECONDS);
+    }
+
+    /** Announces the endpoints of this host as they are now. Any thread. */
+    void update() {
+        mEventLoop.execute(this::updateNow);
+    }
+
+    /** Announces that this node shuts down. Any thread. */
+    void drain() {
+        mEventLoop.execute(() -> carryOut(mProtocol.drain()));
+    }
+
+    /** Handles a message. Any thread. */
+    void receive(byte[] payload) throws MessageFormatException {
+        GossipMessage message = GossipMessageCodec.decode(payload);
+        mEventLoop.execute(() -> carryOut(mProtocol.receive(message)));
+    }
+
+    /** Ends the protocol; a node that drained tells others that it is gone. Any thread. */
+    void stop() {
+        mTicks.cancel(false);
+        Future<?> left = mEventLoop.submit(this::leaveNow);
+        if (!mEventLoop.inEventLoop()) {
+            awaitLeft(left);
+        }
+    }
+
+    private static void awaitLeft(Future<?> left) {
+        try {
+            left.get(STOP_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException
+                | java.util.concurrent.TimeoutException failed) {
+            LOGGER.log(Event.LEAVE_NOT_SENT, failed);
+        }
+    }
+
+    private void leaveNow() {
+        // Without a drain this is a failed start or a test of a crash: others find out themselves.
+        if (mProtocol.local().draining()) {
+            carryOut(mProtocol.leave());
+        }
+    }
+
+    private void tick() {
+        carryOut(mProtocol.tick());
+        updateNow();
+    }
+
+    private void updateNow() {
+        try {
+            carryOut(mProtocol.update(mEndpoints.get(), mRevision.getAsLong()));
+        } catch (IllegalArgumentException tooLarge) {
+            LOGGER.log(Event.RECORD_TOO_LARGE, tooLarge.getMessage());
+        }
+    }
+
+    private void carryOut(List<GossipAction> actions) {
+        mDirectory.apply(actions);
+        for (GossipAction action : actions) {
+            switch (action) {
+                case GossipAction.Send send -> send(send);
+                case GossipAction.Joined(NodeRecord record) ->
+                        LOGGER.log(
+                                Event.NODE_JOINED,
+                                record.node(),
+                                record.incarnation(),
+                                record.peerAddress());
+                case GossipAction.Changed changed -> {}
+                case GossipAction.Suspected(NodeRecord record) ->
+                        LOGGER.log(Event.NODE_SUSPECTED, record.node(), record.incarnation());
+                case GossipAction.Left(NodeRecord record) ->
+                        LOGGER.log(
+                                Event.NODE_LEFT,
+                                record.node(),
+                                record.incarnation(),
+                                record.draining() ? "left after draining" : "does not respond");
+                case GossipAction.Resumed(Duration duration) ->
+                        LOGGER.log(Event.PROCESS_RESUMED, duration.toMillis());
+            }
+        }
+    }
+
+    private void send(GossipAction.Send send) {
+        try {
+            mLinks.send(send.address(), PeerMessage.Channel.MEMBERSHIP, send.payload());
+        } catch (IllegalArgumentException malformed) {
+            // Addresses come from records and messages of other nodes.
+            LOGGER.log(Event.SESSION_CONNECT_FAILED, send.address(), malformed.getMessage());
+        }
+    }
+}
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -48,6 +48,14 @@
     NODE_JOINED(6001, Level.INFO, "node {0} incarnation {1} joined at {2}"),
     /** A node was removed from the fleet. */
     NODE_LEFT(6002, Level.INFO, "node {0} incarnation {1} {2}"),
+    /** A node does not respond, neither directly nor through others. */
+    NODE_SUSPECTED(6003, Level.INFO, "node {0} incarnation {1} does not respond; suspected"),
+    /** This process was paused and refutes what others may believe about it. */
+    PROCESS_RESUMED(6004, Level.WARNING, "this process was paused for {0} ms"),
+    /** The record of this node does not fit into a message. */
+    RECORD_TOO_LARGE(6005, Level.ERROR, "change of endpoints not announced: {0}"),
+    /** Others were not told that this node is gone; they find out by heartbeats. */
+    LEAVE_NOT_SENT(6006, Level.WARNING, "departure not announced: {0}"),
     /** The store lacks the revision in force, as after restoring an older backup. */
     STORE_BEHIND(
             7001,
--- a/kernel/src/main/java/org/arbutuslock/internal/membership/GossipProtocol.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/GossipProtocol.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.arbutuslock.api.Clock;
-import org.arbutuslock.internal.messages.MessageFormatException;
 
 /**
  * Decides what a node tells others about nodes and what it believes. Has no sockets and no threads;
@@ -46,6 +45,7 @@
     private final NewsSpreader mNews;
     private final Deque<Long> mDrainRepeats = new ArrayDeque<>();
     private boolean mStarted;
+    private boolean mLeft;
     private long mLastTickNanos;
     private long mLastReceivedNanos;
     private long mRevisionNanos;
@@ -86,6 +86,9 @@
      * @return actions in order
      */
     public List<GossipAction> tick() {
+        if (mLeft) {
+            return List.of();
+        }
         long now = mClock.nanoTime();
         noticePause(now);
         mLastTickNanos = now;
@@ -111,12 +114,14 @@
     /**
      * Handles a message of another node.
      *
-     * @param payload encoded message
+     * @param message message decoded with {@link GossipMessageCodec}
      * @return actions in order
-     * @throws MessageFormatException when the payload is malformed
      */
-    public List<GossipAction> receive(byte[] payload) throws MessageFormatException {
-        GossipMessage message = GossipMessageCodec.decode(payload);
+    public List<GossipAction> receive(GossipMessage message) {
+        if (mLeft) {
+            // A relay may send the node's own tombstone back; it must not refute it.
+            return List.of();
+        }
         long now = mClock.nanoTime();
         noticePause(now);
         mLastReceivedNanos = now;
@@ -143,6 +148,9 @@
      * @return actions in order
      */
     public List<GossipAction> update(List<EndpointRecord> endpoints, long revision) {
+        if (mLeft) {
+            return List.of();
+        }
         long now = mClock.nanoTime();
         noticePause(now);
         NodeRecord own = mSelf.record();
@@ -164,6 +172,9 @@
      * @return actions in order
      */
     public List<GossipAction> drain() {
+        if (mLeft) {
+            return List.of();
+        }
         long now = mClock.nanoTime();
         noticePause(now);
         NodeRecord own = mSelf.record();
@@ -175,14 +186,16 @@
     }
 
     /**
-     * Tells others that this node is gone. Call it last.
+     * Tells others that this node is gone. All later calls do nothing.
      *
      * @return actions in order
      */
     public List<GossipAction> leave() {
         NodeRecord own = mSelf.record();
         mNews.add(new Statement.Departed(Departure.of(own)), own.region(), false);
-        return finish();
+        List<GossipAction> actions = finish();
+        mLeft = true;
+        return actions;
     }
 
     /**
--- a/kernel/src/test/java/org/arbutuslock/internal/membership/GossipSimulation.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/membership/GossipSimulation.java
@@ -183,7 +183,7 @@
                 return;
             }
             try {
-                handle(mProtocol.receive(payload));
+                handle(mProtocol.receive(GossipMessageCodec.decode(payload)));
             } catch (MessageFormatException impossible) {
                 throw new AssertionError(impossible);
             }
