Feed the health detectors from real requests, digests and probes

Cause: the coordinators never got a verdict. Found while testing: a probe whose response exceeds the credit would have timed out and counted against a healthy server; probes need no credit.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EjectionPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EjectionPlugin.java
@@ -14,12 +14,15 @@
 import org.arbutuslock.daemon.internal.fleet.FleetDirectory;
 import org.arbutuslock.daemon.internal.fleet.FleetPlugin;
 import org.arbutuslock.daemon.internal.home.HomePlugin;
+import org.arbutuslock.daemon.internal.home.HomeService;
 import org.arbutuslock.daemon.internal.home.LocalEndpoints;
+import org.arbutuslock.daemon.internal.home.Observations;
 import org.arbutuslock.daemon.internal.sessions.ChannelMessages;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.daemon.internal.sessions.PeerLinks;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.detection.HealthReportCodec;
 import org.arbutuslock.internal.ejection.EjectionSettings;
 import org.arbutuslock.internal.ejection.PledgeEnvelopeCodec;
 import org.arbutuslock.internal.messages.PeerMessage;
@@ -63,12 +66,19 @@
                         endpoints,
                         context.require(FleetDirectory.class)::current,
                         context.require(ConfigurationHolder.class),
-                        context.require(PeerLinks.class));
+                        context.require(PeerLinks.class),
+                        context.require(HomeService.class));
         context.require(ChannelMessages.class)
                 .listen(
                         PeerMessage.Channel.PLEDGES,
                         (node, payload, reply) ->
                                 mGuards.receive(PledgeEnvelopeCodec.decode(payload)));
+        context.require(ChannelMessages.class)
+                .listen(
+                        PeerMessage.Channel.HEALTH,
+                        (node, payload, reply) ->
+                                mGuards.receive(HealthReportCodec.decode(payload)));
+        context.require(Observations.class).addListener(mGuards::observed);
         endpoints.addListener(mGuards::changed);
         mTicks =
                 eventLoop.scheduleWithFixedDelay(
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
@@ -14,10 +14,15 @@
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.ServiceDefinition;
 import org.arbutuslock.daemon.internal.home.EndpointRuntime;
+import org.arbutuslock.daemon.internal.home.HomeService;
 import org.arbutuslock.daemon.internal.home.LocalEndpoints;
+import org.arbutuslock.daemon.internal.home.Observation;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.daemon.internal.sessions.PeerLinks;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.detection.HealthReport;
+import org.arbutuslock.internal.detection.HealthReportCodec;
+import org.arbutuslock.internal.detection.Verdict;
 import org.arbutuslock.internal.ejection.EjectionAction;
 import org.arbutuslock.internal.ejection.EjectionDecision;
 import org.arbutuslock.internal.ejection.EjectionSettings;
@@ -48,6 +53,7 @@
     private final Supplier<FleetSnapshot> mFleet;
     private final ConfigurationHolder mConfiguration;
     private final PeerLinks mLinks;
+    private final HealthMonitors mHealth;
     private final Map<EndpointId, EndpointGuard> mGuards = new HashMap<>();
 
     /**
@@ -61,6 +67,7 @@
      * @param fleet nodes that this node knows
      * @param configuration configuration in force
      * @param links sessions to other nodes
+     * @param home sends probes
      */
     public EndpointGuards(
             EventLoop eventLoop,
@@ -70,7 +77,8 @@
             LocalEndpoints endpoints,
             Supplier<FleetSnapshot> fleet,
             ConfigurationHolder configuration,
-            PeerLinks links) {
+            PeerLinks links,
+            HomeService home) {
         mEventLoop = eventLoop;
         mClock = clock;
         mSettings = settings;
@@ -79,6 +87,7 @@
         mFleet = fleet;
         mConfiguration = configuration;
         mLinks = links;
+        mHealth = new HealthMonitors(eventLoop, clock, localNode, home, this::send);
     }
 
     /**
@@ -93,7 +102,7 @@
             case LocalEndpoints.Change.Departing(EndpointId id) ->
                     mEventLoop.execute(() -> depart(id, "the backend server departs"));
             case LocalEndpoints.Change.Left(EndpointId id) ->
-                    mEventLoop.execute(() -> mGuards.remove(id));
+                    mEventLoop.execute(() -> removeGuard(id));
             case LocalEndpoints.Change.StateChanged changed -> {}
         }
     }
@@ -113,6 +122,25 @@
                 });
     }
 
+    /**
+     * Takes evidence of a request. Any thread.
+     *
+     * @param id endpoint that executed it
+     * @param observation the evidence
+     */
+    public void observed(EndpointId id, Observation observation) {
+        mHealth.observed(id, observation);
+    }
+
+    /**
+     * Takes the digest of another endpoint. Any thread.
+     *
+     * @param report the digest
+     */
+    public void receive(HealthReport report) {
+        mHealth.receive(report);
+    }
+
     /** Starts the departure of all endpoints of this host. Any thread. */
     public void departAll() {
         mEventLoop.execute(
@@ -122,7 +150,10 @@
     /** Lets time pass. Call it on the event loop every {@link #TICK_MILLIS}. */
     public void tick() {
         for (EndpointGuard guard : List.copyOf(mGuards.values())) {
-            apply(guard, guard.coordinator().updateService(others(guard.id()), floor(guard.id())));
+            List<EndpointId> others = others(guard.id());
+            apply(guard, guard.coordinator().updateService(others, floor(guard.id())));
+            Verdict verdict = mHealth.evaluate(guard.id(), others);
+            apply(guard, guard.coordinator().observeVerdict(verdict));
             finishDeparture(guard);
         }
     }
@@ -149,9 +180,15 @@
                 new EndpointGuard(
                         id, mSettings, mClock, () -> ThreadLocalRandom.current().nextLong());
         mGuards.put(id, guard);
+        mHealth.add(id, mEndpoints.find(id).map(EndpointRuntime::slots).orElse(1));
         publish(guard);
     }
 
+    private void removeGuard(EndpointId id) {
+        mGuards.remove(id);
+        mHealth.remove(id);
+    }
+
     private void depart(EndpointId id, String reason) {
         EndpointGuard guard = mGuards.get(id);
         if (guard != null && !guard.isDeparting()) {
@@ -192,6 +229,7 @@
                         send(new PledgeEnvelope(destination, message));
                 case EjectionAction.ChangeState change -> {
                     if (change.previous() != change.state()) {
+                        startTrial(guard, change.state());
                         LOGGER.log(
                                 Event.ENDPOINT_STATE_CHANGED,
                                 guard.id(),
@@ -206,24 +244,47 @@
         }
     }
 
+    private void startTrial(EndpointGuard guard, EndpointState state) {
+        if (state == EndpointState.TRIAL) {
+            mHealth.startTrial(guard.id());
+        }
+    }
+
     private void publish(EndpointGuard guard) {
         mEndpoints.setState(
                 guard.id(), guard.coordinator().state(), guard.coordinator().weightPercent());
     }
 
     private void send(PledgeEnvelope envelope) {
-        Optional<FleetSnapshot.Member> member = mFleet.get().findMember(envelope.destination());
+        send(
+                envelope.destination(),
+                () -> receive(envelope),
+                PeerMessage.Channel.PLEDGES,
+                () -> PledgeEnvelopeCodec.encode(envelope));
+    }
+
+    private void send(HealthReport report) {
+        send(
+                report.destination(),
+                () -> receive(report),
+                PeerMessage.Channel.HEALTH,
+                () -> HealthReportCodec.encode(report));
+    }
+
+    private void send(
+            EndpointId destination,
+            Runnable deliverHere,
+            PeerMessage.Channel channel,
+            Supplier<byte[]> encoded) {
+        Optional<FleetSnapshot.Member> member = mFleet.get().findMember(destination);
         if (member.isEmpty()) {
             return;
         }
         NodeRecord node = member.get().node();
         if (node.node().equals(mLocalNode.name())) {
-            receive(envelope);
+            deliverHere.run();
         } else {
-            mLinks.send(
-                    node.peerAddress(),
-                    PeerMessage.Channel.PLEDGES,
-                    PledgeEnvelopeCodec.encode(envelope));
+            mLinks.send(node.peerAddress(), channel, encoded.get());
         }
     }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -2,11 +2,13 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.internal.admission.AdmissionController;
 import org.arbutuslock.internal.admission.AdmissionSettings;
 import org.arbutuslock.internal.admission.Completion;
@@ -30,6 +32,7 @@
     private final ObservationListener mObservations;
     private volatile LoadReport mLoad = LoadReport.UNKNOWN;
     private volatile int mUnfinished;
+    private volatile ProbeTemplate mProbeTemplate;
     private boolean mPolling;
 
     /**
@@ -144,8 +147,13 @@
         apply(mAdmission.finished(exchange.ticket(), completion));
     }
 
-    void observe(WorkClass workClass, long latencyNanos, ObservedOutcome outcome) {
-        mObservations.observed(mId, workClass, latencyNanos, outcome);
+    void observe(Observation observation) {
+        mObservations.observed(mId, observation);
+    }
+
+    /** Returns the requests at the backend server. Event loop of the endpoint only. */
+    int inFlight() {
+        return mAdmission.inFlight();
     }
 
     private void offerNow(HomeExchange exchange) {
@@ -168,7 +176,28 @@
         updateLoad();
     }
 
+    /**
+     * Returns a short idempotent request that the backend server has got lately, to probe it with.
+     * Any thread.
+     *
+     * @return the request without its other headers, or empty when there was none
+     */
+    public Optional<ProbeTemplate> probeTemplate() {
+        return Optional.ofNullable(mProbeTemplate);
+    }
+
+    private void rememberForProbes(ExecutionRequest request) {
+        boolean suitable =
+                request.idempotent()
+                        && request.workClass() == WorkClass.SHORT
+                        && request.method().equals("GET");
+        if (suitable) {
+            mProbeTemplate = ProbeTemplate.of(request);
+        }
+    }
+
     private void dispatch(HomeExchange exchange) {
+        rememberForProbes(exchange.request());
         mPool.acquire(exchange.request().idempotent(), exchange::connected);
     }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.arbutuslock.api.Clock;
@@ -13,6 +14,8 @@
 import org.arbutuslock.daemon.internal.exchange.ResponseListener;
 import org.arbutuslock.internal.admission.Completion;
 import org.arbutuslock.internal.admission.Ticket;
+import org.arbutuslock.internal.detection.Lane;
+import org.arbutuslock.internal.detection.Outcome;
 import org.arbutuslock.internal.execution.ExecutionRecord;
 import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.messages.BufferedResponse;
@@ -35,14 +38,15 @@
     private final ExecutionRequest mRequest;
     private final ExecutionRecord mRecord;
     private final ResponseListener mListener;
+    private final Lane mLane;
     private final Ticket<HomeExchange> mTicket;
     private BackendConnection mConnection;
     private Future<?> mDeadline;
-    private long mDispatchedNanos;
+    private Optional<RequestObservation> mObservation = Optional.empty();
+    private Future<?> mStallCheck;
     private long mCredit = INITIAL_CREDIT_BYTES;
     private boolean mDetached;
     private boolean mDone;
-    private boolean mTimeoutObserved;
     private int mStatus;
     private List<HeaderField> mHeaders = List.of();
     private ByteArrayOutputStream mKeptBody;
@@ -52,7 +56,9 @@
             Clock clock,
             ExecutionRequest request,
             ExecutionRecord record,
+            Lane lane,
             ResponseListener listener) {
+        mLane = lane;
         mEndpoint = endpoint;
         mClock = clock;
         mRequest = request;
@@ -91,7 +97,7 @@
                     dispatch(connection);
             case Result.Failed<BackendConnection>(var failure) -> {
                 refuse(RefusalReason.CONNECT_FAILED, failure.toString());
-                observe(ObservedOutcome.CONNECT_FAILED);
+                mEndpoint.observe(new Observation(mLane, 0, 0, Outcome.WRONG));
                 mEndpoint.finished(this, Completion.FAILED);
             }
         }
@@ -106,8 +112,11 @@
             return;
         }
         mConnection = connection;
-        mDispatchedNanos = mClock.nanoTime();
-        long remaining = Math.max(0, mRequest.deadlineNanos() - mDispatchedNanos);
+        RequestObservation observation =
+                new RequestObservation(mEndpoint, mClock, mLane, mEndpoint.inFlight() - 1);
+        mObservation = Optional.of(observation);
+        checkStall();
+        long remaining = Math.max(0, mRequest.deadlineNanos() - mClock.nanoTime());
         mDeadline = mEndpoint.schedule(this::deadlinePassed, remaining);
         if (!mRequest.idempotent()) {
             mKeptBody = new ByteArrayOutputStream();
@@ -124,24 +133,26 @@
             case BackendEvent.Head(int status, List<HeaderField> headers) -> {
                 mStatus = status;
                 mHeaders = headers;
-                observe(classify(status));
+                progressed();
                 emit(new ResponseEvent.Head(status, headers, mEndpoint.load()));
             }
             case BackendEvent.Body(byte[] data, boolean last) -> handleBody(data, last);
             case BackendEvent.Broken(String reason) -> {
-                observe(ObservedOutcome.TRUNCATED);
-                failDispatched(reason);
+                failDispatched(reason, Outcome.TRUNCATED);
             }
         }
     }
 
     private void handleBody(byte[] data, boolean last) {
         keep(data);
-        mCredit -= data.length;
+        progressed();
+        // Nobody reads the response of a probe, so that nobody grants credit for it.
+        mCredit -= mLane == Lane.PROBE ? 0 : data.length;
         if (last) {
             complete();
         } else if (mCredit <= 0 && !mDetached) {
             mConnection.setReading(false);
+            mObservation.ifPresent(RequestObservation::slowedByCaller);
         }
         // Recorded before it is sent, so that a query never finds a response that is not recorded.
         emit(new ResponseEvent.Body(data, last));
@@ -165,12 +176,14 @@
         } else {
             mRecord.complete(new BufferedResponse(mStatus, mHeaders, mKeptBody.toByteArray()));
         }
+        mObservation.ifPresent(observation -> observation.ended(classify(mStatus)));
         mEndpoint.release(mConnection);
         mEndpoint.finished(this, toCompletion(classify(mStatus)));
     }
 
-    private void failDispatched(String reason) {
+    private void failDispatched(String reason, Outcome outcome) {
         finish();
+        mObservation.ifPresent(observation -> observation.ended(outcome));
         mRecord.fail();
         mConnection.abort();
         emit(new ResponseEvent.OutcomeUnknown(reason, mEndpoint.load()));
@@ -180,19 +193,28 @@
     private void finish() {
         mDone = true;
         mDeadline.cancel(false);
+        mStallCheck.cancel(false);
+    }
+
+    private void checkStall() {
+        long next = mObservation.orElseThrow().checkStall();
+        mStallCheck = mEndpoint.schedule(this::checkStall, next);
+    }
+
+    private void progressed() {
+        mObservation.ifPresent(RequestObservation::progressed);
     }
 
     private void deadlinePassed() {
         if (mDone) {
             return;
         }
-        if (!mTimeoutObserved && mStatus == 0) {
-            mTimeoutObserved = true;
-            observe(ObservedOutcome.TIMEOUT);
-        }
+        mObservation.ifPresent(observation -> observation.ended(Outcome.TIMEOUT));
         long overdue = mClock.nanoTime() - mRequest.deadlineNanos();
         if (mRequest.idempotent() || overdue >= EXTRA_NANOS) {
-            failDispatched("the deadline passed while the backend server worked on the request");
+            failDispatched(
+                    "the deadline passed while the backend server worked on the request",
+                    Outcome.TIMEOUT);
         } else {
             mDeadline = mEndpoint.schedule(this::deadlinePassed, EXTRA_NANOS);
         }
@@ -223,8 +245,9 @@
         if (mConnection == null) {
             cancelUndispatched();
         } else if (mRequest.idempotent()) {
-            observe(ObservedOutcome.CANCELLED);
-            failDispatched("cancelled");
+            // Says nothing about the backend server.
+            mObservation = Optional.empty();
+            failDispatched("cancelled", Outcome.OK);
         } else {
             // Runs on, so that its outcome can be asked for later.
             mConnection.setReading(true);
@@ -244,25 +267,18 @@
         }
     }
 
-    private void observe(ObservedOutcome outcome) {
-        long latency = mDispatchedNanos == 0 ? 0 : mClock.nanoTime() - mDispatchedNanos;
-        mEndpoint.observe(mRequest.workClass(), latency, outcome);
-    }
-
-    private static ObservedOutcome classify(int status) {
+    private static Outcome classify(int status) {
         if (status == SHED_STATUS) {
-            return ObservedOutcome.SHED;
+            return Outcome.REFUSED;
         }
-        return status >= FIRST_SERVER_ERROR
-                ? ObservedOutcome.SERVER_ERROR
-                : ObservedOutcome.SUCCESS;
+        return status >= FIRST_SERVER_ERROR ? Outcome.WRONG : Outcome.OK;
     }
 
-    private static Completion toCompletion(ObservedOutcome outcome) {
+    private static Completion toCompletion(Outcome outcome) {
         return switch (outcome) {
-            case SUCCESS -> Completion.SUCCESS;
-            case SHED -> Completion.SHED;
-            default -> Completion.FAILED;
+            case OK, LATE -> Completion.SUCCESS;
+            case REFUSED -> Completion.SHED;
+            case WRONG, TRUNCATED, TIMEOUT, STALLED -> Completion.FAILED;
         };
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
@@ -1,5 +1,6 @@
 package org.arbutuslock.daemon.internal.home;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -8,12 +9,14 @@
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RequestId;
+import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.daemon.internal.exchange.Exchange;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.daemon.internal.exchange.OutcomeReport;
 import org.arbutuslock.daemon.internal.exchange.ResponseEvent;
 import org.arbutuslock.daemon.internal.exchange.ResponseListener;
 import org.arbutuslock.daemon.internal.sessions.HomeNode;
+import org.arbutuslock.internal.detection.Lane;
 import org.arbutuslock.internal.execution.AdmitResult;
 import org.arbutuslock.internal.execution.ExecutionLedger;
 import org.arbutuslock.internal.execution.ExecutionRecord;
@@ -37,12 +40,15 @@
                 public void cancel() {}
             };
 
+    private static final int PROBE_PRIORITY = 9;
+
     private final Clock mClock;
     private final ExecutionLedger mLedger;
     private final EndpointStates mStates;
     private final AtomicReference<Map<EndpointId, EndpointRuntime>> mEndpoints =
             new AtomicReference<>(Map.of());
     private final ConcurrentHashMap<Long, Runnable> mSessions = new ConcurrentHashMap<>();
+    private final long mProbeSession;
     private volatile boolean mDraining;
 
     /**
@@ -55,6 +61,7 @@
     public HomeService(Clock clock, ExecutionLedger ledger, EndpointStates states) {
         mClock = clock;
         mLedger = ledger;
+        mProbeSession = ledger.openSession();
         mStates = states;
     }
 
@@ -180,11 +187,50 @@
             String detail = request.endpoint() + " is not in service";
             return refuse(record, listener, RefusalReason.NOT_IN_SERVICE, detail);
         }
-        HomeExchange exchange = new HomeExchange(endpoint, mClock, request, record, listener);
+        Lane lane = request.workClass() == WorkClass.SHORT ? Lane.SHORT : Lane.LONG;
+        HomeExchange exchange = new HomeExchange(endpoint, mClock, request, record, lane, listener);
         endpoint.offer(exchange);
         return exchange;
     }
 
+    /**
+     * Sends a probe to a backend server in any state. Its result is observed like that of a
+     * request. Nothing is sent when there was no idempotent request to repeat.
+     *
+     * @param id endpoint to probe
+     * @param probeId id of the probe, not used before
+     * @param timeout time to wait for the response
+     */
+    public void probe(EndpointId id, RequestId probeId, Duration timeout) {
+        EndpointRuntime endpoint = mEndpoints.get().get(id);
+        if (endpoint == null || endpoint.probeTemplate().isEmpty()) {
+            return;
+        }
+        ProbeTemplate template = endpoint.probeTemplate().get();
+        long deadline = mClock.nanoTime() + timeout.toNanos();
+        ExecutionRequest request =
+                new ExecutionRequest(
+                        probeId,
+                        id,
+                        "GET",
+                        template.target(),
+                        template.headers(),
+                        new byte[0],
+                        WorkClass.SHORT,
+                        true,
+                        "",
+                        1,
+                        PROBE_PRIORITY,
+                        deadline);
+        if (mLedger.admit(mProbeSession, probeId)
+                instanceof AdmitResult.Admitted(ExecutionRecord record)) {
+            // Nobody acknowledges a probe.
+            record.abandon();
+            endpoint.offer(
+                    new HomeExchange(endpoint, mClock, request, record, Lane.PROBE, event -> {}));
+        }
+    }
+
     private static Exchange refuse(
             ExecutionRecord record,
             ResponseListener listener,
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/Observations.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/Observations.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.arbutuslock.api.EndpointId;
-import org.arbutuslock.api.WorkClass;
 
 /** Passes observations on to every registered listener. */
 public final class Observations implements ObservationListener {
@@ -22,10 +21,9 @@
     }
 
     @Override
-    public void observed(
-            EndpointId endpoint, WorkClass workClass, long latencyNanos, ObservedOutcome outcome) {
+    public void observed(EndpointId endpoint, Observation observation) {
         for (ObservationListener listener : mListeners) {
-            listener.observed(endpoint, workClass, latencyNanos, outcome);
+            listener.observed(endpoint, observation);
         }
     }
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/ejection/PledgeEnvelopeCodec.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/ejection/PledgeEnvelopeCodec.java
@@ -14,7 +14,6 @@
  */
 public final class PledgeEnvelopeCodec {
     private static final int ENVELOPE_FIELDS = 3;
-    private static final int MAXIMUM_NAME_BYTES = 255;
     private static final int MAXIMUM_REASON_BYTES = 1_024;
     private static final long MAXIMUM_DURATION_MILLIS = 3_600_000;
 
@@ -28,13 +27,13 @@
      */
     public static byte[] encode(PledgeEnvelope envelope) {
         MessageWriter writer = new MessageWriter().writeArrayHeader(ENVELOPE_FIELDS);
-        writeEndpoint(writer, envelope.destination());
+        writer.writeEndpoint(envelope.destination());
         switch (envelope.message()) {
             case PledgeMessage.Request request -> writeRequest(writer, request);
             case PledgeMessage.Reply reply -> writeReply(writer, reply);
             case PledgeMessage.Release release -> {
                 writer.writeEnum(Type.RELEASE).writeArrayHeader(Type.RELEASE.mFields);
-                writeEndpoint(writer, release.requester());
+                writer.writeEndpoint(release.requester());
                 writer.writeLong(release.requesterIncarnation()).writeLong(release.number());
             }
             case PledgeMessage.Revoked revoked -> writeRevoked(writer, revoked);
@@ -51,10 +50,10 @@
      */
     public static PledgeEnvelope decode(byte[] encoded) throws MessageFormatException {
         try (MessageReader reader = new MessageReader(encoded)) {
-            expectFields(reader, "pledgeEnvelope", ENVELOPE_FIELDS);
-            EndpointId destination = readEndpoint(reader);
+            reader.expectArray("pledgeEnvelope", ENVELOPE_FIELDS);
+            EndpointId destination = reader.readEndpoint("destination");
             Type type = reader.readEnum("type", Type.values());
-            expectFields(reader, "pledgeMessage", type.mFields);
+            reader.expectArray("pledgeMessage", type.mFields);
             PledgeMessage message = readMessage(reader, type);
             reader.expectEnd();
             return new PledgeEnvelope(destination, message);
@@ -63,7 +62,7 @@
 
     private static void writeRequest(MessageWriter writer, PledgeMessage.Request request) {
         writer.writeEnum(Type.REQUEST).writeArrayHeader(Type.REQUEST.mFields);
-        writeEndpoint(writer, request.requester());
+        writer.writeEndpoint(request.requester());
         writer.writeLong(request.requesterIncarnation())
                 .writeLong(request.number())
                 .writeLong(request.durationMillis());
@@ -71,9 +70,9 @@
 
     private static void writeReply(MessageWriter writer, PledgeMessage.Reply reply) {
         writer.writeEnum(Type.REPLY).writeArrayHeader(Type.REPLY.mFields);
-        writeEndpoint(writer, reply.pledger());
+        writer.writeEndpoint(reply.pledger());
         writer.writeLong(reply.pledgerIncarnation());
-        writeEndpoint(writer, reply.requester());
+        writer.writeEndpoint(reply.requester());
         writer.writeLong(reply.requesterIncarnation())
                 .writeLong(reply.number())
                 .writeBoolean(reply.granted())
@@ -82,9 +81,9 @@
 
     private static void writeRevoked(MessageWriter writer, PledgeMessage.Revoked revoked) {
         writer.writeEnum(Type.REVOKED).writeArrayHeader(Type.REVOKED.mFields);
-        writeEndpoint(writer, revoked.pledger());
+        writer.writeEndpoint(revoked.pledger());
         writer.writeLong(revoked.pledgerIncarnation());
-        writeEndpoint(writer, revoked.requester());
+        writer.writeEndpoint(revoked.requester());
         writer.writeLong(revoked.requesterIncarnation()).writeLong(revoked.number());
     }
 
@@ -93,60 +92,39 @@
         return switch (type) {
             case REQUEST ->
                     new PledgeMessage.Request(
-                            readEndpoint(reader),
+                            reader.readEndpoint("requester"),
                             readNumber(reader, "requesterIncarnation"),
                             readNumber(reader, "number"),
                             reader.readLong("durationMillis", 0, MAXIMUM_DURATION_MILLIS));
             case REPLY ->
                     new PledgeMessage.Reply(
-                            readEndpoint(reader),
+                            reader.readEndpoint("pledger"),
                             readNumber(reader, "pledgerIncarnation"),
-                            readEndpoint(reader),
+                            reader.readEndpoint("requester"),
                             readNumber(reader, "requesterIncarnation"),
                             readNumber(reader, "number"),
                             reader.readBoolean("granted"),
                             reader.readString("reason", MAXIMUM_REASON_BYTES));
             case RELEASE ->
                     new PledgeMessage.Release(
-                            readEndpoint(reader),
+                            reader.readEndpoint("requester"),
                             readNumber(reader, "requesterIncarnation"),
                             readNumber(reader, "number"));
             case REVOKED ->
                     new PledgeMessage.Revoked(
-                            readEndpoint(reader),
+                            reader.readEndpoint("pledger"),
                             readNumber(reader, "pledgerIncarnation"),
-                            readEndpoint(reader),
+                            reader.readEndpoint("requester"),
                             readNumber(reader, "requesterIncarnation"),
                             readNumber(reader, "number"));
         };
     }
 
-    private static void writeEndpoint(MessageWriter writer, EndpointId endpoint) {
-        writer.writeArrayHeader(2)
-                .writeString(endpoint.service())
-                .writeString(endpoint.backendServer());
-    }
-
-    private static EndpointId readEndpoint(MessageReader reader) throws MessageFormatException {
-        expectFields(reader, "endpoint", 2);
-        return new EndpointId(
-                reader.readString("service", MAXIMUM_NAME_BYTES),
-                reader.readString("backendServer", MAXIMUM_NAME_BYTES));
-    }
-
     private static long readNumber(MessageReader reader, String field)
             throws MessageFormatException {
         return reader.readLong(field, Long.MIN_VALUE, Long.MAX_VALUE);
     }
 
-    private static void expectFields(MessageReader reader, String field, int expected)
-            throws MessageFormatException {
-        int fields = reader.readArrayHeader(field, expected);
-        if (fields != expected) {
-            throw reader.problem(field, fields + " fields, allowed " + expected);
-        }
-    }
-
     /** Types on the wire; the order is part of the protocol. */
     private enum Type {
         REQUEST(4),
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/MessageReader.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/MessageReader.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.function.Supplier;
+import org.arbutuslock.api.EndpointId;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
@@ -17,6 +18,8 @@
  * }</pre>
  */
 public final class MessageReader implements AutoCloseable {
+    private static final int MAXIMUM_NAME_BYTES = 255;
+
     private final MessageUnpacker mUnpacker;
 
     /**
@@ -130,6 +133,34 @@
         return constants[readInt(field, 0, constants.length - 1)];
     }
 
+    /**
+     * Reads the header of an array that must have an exact length.
+     *
+     * @param field name of the field for errors
+     * @param expected number of elements that must follow
+     * @throws MessageFormatException when the value is not an array of that length
+     */
+    public void expectArray(String field, int expected) throws MessageFormatException {
+        int fields = readArrayHeader(field, Integer.MAX_VALUE);
+        if (fields != expected) {
+            throw problem(field, fields + " fields, allowed " + expected);
+        }
+    }
+
+    /**
+     * Reads an endpoint id.
+     *
+     * @param field name of the field for errors
+     * @return the id
+     * @throws MessageFormatException when the value is not an endpoint id
+     */
+    public EndpointId readEndpoint(String field) throws MessageFormatException {
+        expectArray(field, 2);
+        return new EndpointId(
+                readString("service", MAXIMUM_NAME_BYTES),
+                readString("backendServer", MAXIMUM_NAME_BYTES));
+    }
+
     /**
      * Checks that nothing follows.
      *
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/MessageWriter.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/MessageWriter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import org.arbutuslock.api.EndpointId;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 
@@ -81,6 +82,18 @@
         return writeLong(value.ordinal());
     }
 
+    /**
+     * Writes an endpoint id.
+     *
+     * @param endpoint the id
+     * @return this writer
+     */
+    public MessageWriter writeEndpoint(EndpointId endpoint) {
+        return writeArrayHeader(2)
+                .writeString(endpoint.service())
+                .writeString(endpoint.backendServer());
+    }
+
     /**
      * Returns all values written.
      *
