Judge detection buckets against the right second and time work in the server

Cause: buckets were judged 1.5 s after their end but compared with digests of 1 s; waiting inside the server looked like slow work; a server whose slots all hang gave no further evidence; at 1 request/s few samples decided. Change: three buckets instead of four; ServiceTimer estimates the start of work; a stalled request is reported up to twice; stalls have their own score, which decays; probes at most double the evidence of ordinary requests; the failure rate of the group has a long memory; own history needs 200 samples.

--- a/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceJudge.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceJudge.java
@@ -12,28 +12,42 @@
 
     private static final double USUAL_SLOW_RATE = 0.12;
     private static final double FAULTY_SLOW_RATE = 0.45;
-    private static final double LOWEST_USUAL_FAILURE_RATE = 0.01;
+    private static final double LOWEST_USUAL_FAILURE_RATE = 0.005;
     private static final double FAULTY_FAILURE_RATE = 0.3;
-    private static final double LOWEST_USUAL_STALL_RATE = 0.002;
+    private static final double LOWEST_USUAL_STALL_RATE = 0.004;
     private static final double FAULTY_STALL_RATE = 0.2;
     private static final double LOWEST_USUAL_REFUSAL_RATE = 0.15;
     private static final double FAULTY_REFUSAL_RATE = 0.6;
     private static final double GROUP_MARGIN = 1.5;
+
+    /** Share of a new bucket in the mean of the group, which covers about a minute. */
+    private static final double GROUP_RATE_SHARE = 0.01;
+
+    /** A history of fewer requests would excuse slowness by chance. */
+    private static final int FEWEST_PAST_SAMPLES = 200;
+
     private static final double HIGHEST_RATE = 0.95;
 
     /** Sick above this score at 1 request/s. */
-    private static final double SICK_SCORE = 12;
+    private static final double SICK_SCORE = 13;
+
+    /** Halves the evidence of stalls in 10 s, so that rare single ones do not add up. */
+    private static final double STALL_DECAY_PER_BUCKET = 0.966;
 
     private static final double SUSPECT_SHARE = 0.25;
     private static final double LIMIT_SHARE = 1.5;
 
     private final EvidenceScore mSlow = new EvidenceScore();
+    private final EvidenceScore mSlowProbes = new EvidenceScore();
     private final EvidenceScore mFailures = new EvidenceScore();
+    private final EvidenceScore mStalls = new EvidenceScore();
     private final EvidenceScore mRefusals = new EvidenceScore();
     private final RotatingBucket[] mPast = new RotatingBucket[Lane.values().length];
     private final double[] mPastUpperMicros = new double[Lane.values().length];
     private final LaneBucket mScratch = new LaneBucket();
     private double mPastFailureRate;
+    private double mGroupFailureRate;
+    private long mGroupBuckets;
     private boolean mSick;
     private boolean mSuspicious;
     private Lane mSlowLane = Lane.SHORT;
@@ -55,12 +69,16 @@
         GroupWindow.Usual before = group.usual(endNanos - second, endNanos);
         GroupWindow.Usual after = group.usual(endNanos, endNanos + second);
         double sickScore = sickScore(requestsPerSecond);
+        if (before == null) {
+            before = group.usual(endNanos - 2 * second, endNanos);
+        }
         if (before == null || after == null) {
             // Without a group, a fault of the whole service cannot be told from one server's.
-            mSlow.limit(sickScore / 2);
-            mFailures.limit(sickScore / 2);
             return;
         }
+        mGroupFailureRate +=
+                Math.max(GROUP_RATE_SHARE, 1.0 / ++mGroupBuckets)
+                        * (after.failed() - mGroupFailureRate);
         judgeOutcomes(lanes, before, after);
         for (Lane lane : Lane.values()) {
             double usual =
@@ -70,7 +88,9 @@
             judgeLatency(lanes[lane.ordinal()], lane, usual);
         }
         mSlow.limit(LIMIT_SHARE * sickScore);
+        mSlowProbes.limit(LIMIT_SHARE * sickScore);
         mFailures.limit(LIMIT_SHARE * sickScore);
+        mStalls.limit(LIMIT_SHARE * sickScore);
         mRefusals.limit(LIMIT_SHARE * sickScore);
         decide(sickScore);
         if (!mSuspicious) {
@@ -99,18 +119,19 @@
             mFailureRequests = good + failed + stalled;
         }
         double groupFailed = Math.max(before.failed(), after.failed());
-        double usualFailed = Math.max(groupFailed, mPastFailureRate);
+        double usualFailed = Math.max(groupFailed, Math.max(mGroupFailureRate, mPastFailureRate));
         addRate(
                 mFailures,
                 failed,
                 good,
                 Math.max(LOWEST_USUAL_FAILURE_RATE, GROUP_MARGIN * usualFailed),
                 FAULTY_FAILURE_RATE);
+        mStalls.decay(STALL_DECAY_PER_BUCKET);
         double groupStalled = Math.max(before.stalled(), after.stalled());
         addRate(
-                mFailures,
+                mStalls,
                 stalled,
-                0,
+                good + failed,
                 Math.max(LOWEST_USUAL_STALL_RATE, GROUP_MARGIN * groupStalled),
                 FAULTY_STALL_RATE);
         double groupRefused = Math.max(before.refused(), after.refused());
@@ -139,7 +160,8 @@
                 Math.min(mPastUpperMicros[lane.ordinal()], OWN_HISTORY_LIMIT * groupUpperMicros);
         double limit = SLOW_FACTOR * Math.max(groupUpperMicros, own);
         int slow = bucket.countAbove(limit);
-        mSlow.add(slow, bucket.mSamples - slow, USUAL_SLOW_RATE, FAULTY_SLOW_RATE, 1);
+        EvidenceScore score = lane == Lane.PROBE ? mSlowProbes : mSlow;
+        score.add(slow, bucket.mSamples - slow, USUAL_SLOW_RATE, FAULTY_SLOW_RATE, 1);
         if (slow > 0) {
             mSlowLane = lane;
             mSlowCount = slow;
@@ -174,7 +196,8 @@
         if (mJudged % 20 == 0) {
             for (int lane = 0; lane < lanes.length; lane++) {
                 mPast[lane].copyTo(mScratch);
-                mPastUpperMicros[lane] = LaneBucket.quantile(mScratch, 90);
+                boolean enough = mScratch.mSamples >= FEWEST_PAST_SAMPLES;
+                mPastUpperMicros[lane] = enough ? LaneBucket.quantile(mScratch, 90) : 0;
             }
         }
     }
@@ -195,7 +218,9 @@
 
     void restart() {
         mSlow.reset();
+        mSlowProbes.reset();
         mFailures.reset();
+        mStalls.reset();
         mRefusals.reset();
         mSick = false;
         mSuspicious = false;
@@ -206,18 +231,28 @@
         return SICK_SCORE + Math.log(Math.max(1, requestsPerSecond));
     }
 
+    /**
+     * Probes at most double the evidence of ordinary requests: a suspicious endpoint sends many of
+     * them before the rare probes of the others show a slowness that they share.
+     */
+    private double slowScore() {
+        return mSlow.value() + Math.min(mSlow.value(), mSlowProbes.value());
+    }
+
     private double score() {
-        return Math.max(mSlow.value(), Math.max(mFailures.value(), mRefusals.value()));
+        double failures = mFailures.value() + mStalls.value();
+        return Math.max(slowScore(), Math.max(failures, mRefusals.value()));
     }
 
     @Override
     public String toString() {
         return String.format(
                 Locale.ROOT,
-                "scores: slow %.1f, failures %.1f, refusals %.1f; last slow bucket: %d of %d %s"
+                "scores: slow %.1f, failures %.1f, stalls %.1f, refusals %.1f; last slow bucket: %d of %d %s"
                         + " requests above %.1f ms; last bucket with failures: %d of %d requests",
-                mSlow.value(),
+                slowScore(),
                 mFailures.value(),
+                mStalls.value(),
                 mRefusals.value(),
                 mSlowCount,
                 mSlowSamples,
--- a/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceScore.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceScore.java
@@ -13,6 +13,10 @@
         mScore = Math.max(0, mScore + weight * (bad * perBad + good * perGood));
     }
 
+    void decay(double factor) {
+        mScore *= factor;
+    }
+
     void limit(double highest) {
         mScore = Math.min(mScore, highest);
     }
--- a/kernel/src/main/java/org/arbutuslock/internal/detection/GroupWindow.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/GroupWindow.java
@@ -9,10 +9,10 @@
     private static final int CAPACITY = 24;
 
     private static final int FEWEST_PEERS = 2;
-    private static final int FEWEST_SAMPLES = 5;
+    private static final int FEWEST_SAMPLES = 4;
 
     /** What the group showed during a second. */
-    record Usual(int peers, double failed, double stalled, double refused) {}
+    record Usual(double failed, double stalled, double refused) {}
 
     private final EndpointId[] mPeers = new EndpointId[CAPACITY];
     private final HealthDigest[] mDigests = new HealthDigest[CAPACITY];
@@ -54,13 +54,18 @@
         if (peers < FEWEST_PEERS) {
             return null;
         }
-        // Without the worst peer: another sick endpoint must not hide this one.
-        double base = Math.max(1, requests * (peers - 1.0) / peers);
         return new Usual(
-                peers,
-                (bad[0] - worst[0]) / base,
-                (bad[1] - worst[1]) / base,
-                (bad[2] - worst[2]) / base);
+                rate(bad[0], worst[0], requests, peers),
+                rate(bad[1], worst[1], requests, peers),
+                rate(bad[2], worst[2], requests, peers));
+    }
+
+    /** Another sick endpoint must not hide this one, so a peer that stands out is left out. */
+    private static double rate(long bad, long worst, long requests, int peers) {
+        long rest = bad - worst;
+        boolean standsOut = worst > 3 + 3.0 * rest / (peers - 1);
+        double base = standsOut ? requests * (peers - 1.0) / peers : requests;
+        return (standsOut ? rest : bad) / Math.max(1, base);
     }
 
     /** Returns the median of the peers' 90th percentiles, or 0 when too few peers have one. */
--- a/kernel/src/main/java/org/arbutuslock/internal/detection/HealthDetector.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/HealthDetector.java
@@ -12,7 +12,7 @@
  * other endpoints of the service. Not thread-safe; memory does not grow with traffic.
  *
  * <pre>{@code
- * detector.observe(Lane.SHORT, latencyNanos, inFlight, Outcome.OK);
+ * detector.observe(Lane.SHORT, timer.finish(ticket), Outcome.OK);
  * Verdict verdict = detector.evaluate(); // every 250 ms
  * if (detector.wantsProbe()) { probe(); }
  * }</pre>
@@ -22,22 +22,34 @@
  * that strikes the whole group is never counted against one endpoint.
  */
 public final class HealthDetector {
-    /** Time without progress after which the home node reports a request as stalled. */
+    /**
+     * Time of work without progress after which the home node reports a request as stalled, and
+     * again after as much more time, up to {@link #MOST_STALL_REPORTS}.
+     */
     public static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /**
+     * Reports of one stalled request. A server whose slots all hang has no other observations; one
+     * connection that hangs must not be enough.
+     */
+    public static final int MOST_STALL_REPORTS = 2;
+
     private static final long BUCKET_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long LAG_NANOS = TimeUnit.SECONDS.toNanos(1);
-    private static final int BUCKETS = 4;
+
+    /** One is filled, two are kept until the lag has passed. */
+    private static final int BUCKETS = 3;
+
     private static final int BUCKETS_PER_DIGEST = 2;
     private static final int FEWEST_DIGEST_SAMPLES = 10;
     private static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(15);
     private static final long PAST_NANOS = TimeUnit.MINUTES.toNanos(5);
 
     private final Clock mClock;
-    private final int mSlots;
     private final LaneBucket[][] mBuckets = new LaneBucket[BUCKETS][Lane.values().length];
     private final RotatingBucket[] mRecent = new RotatingBucket[Lane.values().length];
     private final LaneBucket mScratch = new LaneBucket();
+    private final LaneBucket mLongScratch = new LaneBucket();
     private final GroupWindow mGroup = new GroupWindow();
     private final EvidenceJudge mJudge;
     private final EntryReports mEntryReports = new EntryReports();
@@ -49,12 +61,10 @@
     /**
      * Creates a detector without observations.
      *
-     * @param slots requests that the backend server works on at once
      * @param clock monotonic time
      */
-    public HealthDetector(int slots, Clock clock) {
+    public HealthDetector(Clock clock) {
         mClock = clock;
-        mSlots = slots;
         long nowNanos = clock.nanoTime();
         for (LaneBucket[] lanes : mBuckets) {
             for (int lane = 0; lane < lanes.length; lane++) {
@@ -73,11 +83,11 @@
      * Takes the end of one request, or a report that it stalls.
      *
      * @param lane kind of work
-     * @param latencyNanos time from dispatch to the last byte; only used for outcome OK and LATE
-     * @param inFlight other requests at the backend server when this one was dispatched
+     * @param serviceNanos time that the server worked on it, as {@link ServiceTimer} estimates;
+     *     only used for outcome OK and LATE
      * @param outcome how it ended
      */
-    public void observe(Lane lane, long latencyNanos, int inFlight, Outcome outcome) {
+    public void observe(Lane lane, long serviceNanos, Outcome outcome) {
         closeBuckets();
         LaneBucket bucket = mBuckets[(int) (mClosed % BUCKETS)][lane.ordinal()];
         switch (outcome) {
@@ -94,9 +104,7 @@
             case LATE -> takeBackStall(lane);
         }
         if (outcome == Outcome.OK || outcome == Outcome.LATE) {
-            // A request that found all slots taken waited for its turn in the server.
-            double turns = Math.max(1, (inFlight + 1.0) / mSlots);
-            bucket.recordLatency((long) (latencyNanos / turns / 1_000));
+            bucket.recordLatency(serviceNanos / 1_000);
         }
     }
 
@@ -194,10 +202,11 @@
         for (int back = 1; back <= BUCKETS_PER_DIGEST; back++) {
             mScratch.add(mBuckets[(int) ((mClosed + BUCKETS - back) % BUCKETS)][index]);
         }
-        if (mScratch.mSamples < FEWEST_DIGEST_SAMPLES) {
-            mRecent[index].copyTo(mScratch);
+        if (mScratch.mSamples >= FEWEST_DIGEST_SAMPLES) {
+            return mScratch.toDigest(mScratch);
         }
-        return mScratch.toDigest(mScratch);
+        mRecent[index].copyTo(mLongScratch);
+        return mScratch.toDigest(mLongScratch);
     }
 
     /** Closes buckets whose time has passed; after a long pause all of them are empty. */
--- a/kernel/src/main/java/org/arbutuslock/internal/detection/HealthDigest.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/HealthDigest.java
@@ -4,7 +4,7 @@
 
 /**
  * Observations of one endpoint in the last second, sent once a second to five random endpoints of
- * the service. Lanes with few requests cover up to 30 s.
+ * the service. The quantiles of lanes with few requests cover up to 30 s.
  *
  * @param lanes one entry per {@link Lane}, in its order
  */
@@ -22,8 +22,8 @@
      * @param stalled stalled ones
      * @param refused refused ones
      * @param latencySamples requests behind the quantiles
-     * @param medianMicros median latency, corrected for queueing
-     * @param upperMicros 90th percentile of that latency
+     * @param medianMicros median service time
+     * @param upperMicros 90th percentile of the service time
      */
     public record LaneDigest(
             int requests,
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/DetectionCase.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/DetectionCase.java
@@ -49,6 +49,8 @@
         PAUSES,
         /** 2% of all requests fail. */
         ERRORS,
+        /** One request in 5,000 hangs. */
+        STUCK,
         /** One entry node reports all its responses as truncated. */
         ENTRY_NODE
     }
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/DetectionRun.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/DetectionRun.java
@@ -52,8 +52,8 @@
         mErrorRules = new ConsecutiveErrorsRule[servers];
         mLatencyRule = new LatencyOutlierRule(servers);
         for (int server = 0; server < servers; server++) {
-            mServers[server] = new SimulatedServer(benchCase, mRandom);
-            mDetectors[server] = new HealthDetector(benchCase.slots(), mClock);
+            mServers[server] = new SimulatedServer(benchCase, mRandom, mClock);
+            mDetectors[server] = new HealthDetector(mClock);
             mIds[server] = new EndpointId("bench", "server-" + server);
             mDigestPhase[server] = mRandom.nextInt(STEPS_PER_SECOND);
             mErrorRules[server] = new ConsecutiveErrorsRule();
@@ -95,8 +95,8 @@
                     nowNanos,
                     load,
                     condition,
-                    (lane, latencyNanos, inFlight, outcome) ->
-                            observe(observed, lane, latencyNanos, inFlight, outcome));
+                    (lane, serviceNanos, outcome) ->
+                            observe(observed, lane, serviceNanos, outcome));
             if ((mStep + mDigestPhase[server]) % STEPS_PER_SECOND == 0) {
                 sendDigest(server);
             }
@@ -134,8 +134,8 @@
         };
     }
 
-    private void observe(int server, Lane lane, long latencyNanos, int inFlight, Outcome outcome) {
-        mDetectors[server].observe(lane, latencyNanos, inFlight, outcome);
+    private void observe(int server, Lane lane, long serviceNanos, Outcome outcome) {
+        mDetectors[server].observe(lane, serviceNanos, outcome);
         if (mCase.noise() == DetectionCase.Noise.ENTRY_NODE
                 && outcome == Outcome.OK
                 && mRandom.nextInt(ENTRY_NODES) == 0) {
@@ -144,16 +144,17 @@
         if (mErrorRules[server].observe(outcome)) {
             record(1, server);
         }
-        mLatencyRule.observe(server, lane, latencyNanos, outcome);
+        mLatencyRule.observe(server, lane, serviceNanos, outcome);
     }
 
     private void sendDigest(int server) {
         HealthDigest digest = mDetectors[server].digest();
+        // Consecutive positions from a random one are five different servers.
+        int first = mRandom.nextInt(1, mServers.length);
         for (int count = 0; count < DIGEST_RECEIVERS; count++) {
-            int receiver = mRandom.nextInt(mServers.length);
-            if (receiver != server) {
-                mDetectors[receiver].observeDigest(mIds[server], digest);
-            }
+            int offset = 1 + (first - 1 + count) % (mServers.length - 1);
+            int receiver = (server + offset) % mServers.length;
+            mDetectors[receiver].observeDigest(mIds[server], digest);
         }
     }
 
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/SimulatedServer.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/SimulatedServer.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.arbutuslock.api.Clock;
 import org.arbutuslock.internal.detection.HealthDetector;
 import org.arbutuslock.internal.detection.Lane;
 import org.arbutuslock.internal.detection.Outcome;
+import org.arbutuslock.internal.detection.ServiceTimer;
 
 /** A backend server with slots and an internal queue, and the queue of its home node. */
 final class SimulatedServer {
@@ -25,26 +27,27 @@
     private static final double FAILING_SHARE = 0.3;
     private static final double HANGING_SHARE = 0.2;
     private static final double SLOW_FACTOR = 5;
+    private static final double STUCK_SHARE = 1 / 5_000.0;
 
     private record Waiting(Lane lane, double sinceNanos) {}
 
     private static final class Running {
         Lane mLane;
-        double mDispatchedNanos;
         double mEndNanos;
-        double mStallNanos;
-        int mInFlight;
+        boolean mProgresses;
+        ServiceTimer.Ticket mTicket;
         Outcome mOutcome;
-        boolean mStalled;
+        int mStallReports;
     }
 
     /** Takes what the home node sees. */
     interface Observer {
-        void observe(Lane lane, long latencyNanos, int inFlight, Outcome outcome);
+        void observe(Lane lane, long serviceNanos, Outcome outcome);
     }
 
     private final DetectionCase mCase;
     private final RandomGenerator mRandom;
+    private final ServiceTimer mTimer;
     private final double[] mSlotFreeNanos;
     private final ArrayDeque<Waiting> mQueue = new ArrayDeque<>();
     private final List<Running> mRunning = new ArrayList<>();
@@ -54,7 +57,8 @@
     private double mPausedUntilNanos;
     boolean mFaulty;
 
-    SimulatedServer(DetectionCase benchCase, RandomGenerator random) {
+    SimulatedServer(DetectionCase benchCase, RandomGenerator random, Clock clock) {
+        mTimer = new ServiceTimer(benchCase.slots(), clock);
         mCase = benchCase;
         mRandom = random;
         mSlotFreeNanos = new double[benchCase.slots()];
@@ -115,21 +119,24 @@
             if (running.mEndNanos <= nowNanos) {
                 mRunning.remove(index);
                 report(running, observer);
-            } else if (!running.mStalled && nowNanos >= running.mStallNanos) {
-                running.mStalled = true;
-                observer.observe(running.mLane, 0, running.mInFlight, Outcome.STALLED);
+            } else if (!running.mProgresses
+                    && running.mStallReports < HealthDetector.MOST_STALL_REPORTS
+                    && mTimer.workedNanos(running.mTicket)
+                            >= HealthDetector.STALL_NANOS * (running.mStallReports + 1)) {
+                running.mStallReports++;
+                observer.observe(running.mLane, 0, Outcome.STALLED);
             }
         }
     }
 
-    private static void report(Running running, Observer observer) {
-        long latencyNanos = (long) (running.mEndNanos - running.mDispatchedNanos);
+    private void report(Running running, Observer observer) {
+        long serviceNanos = mTimer.finish(running.mTicket);
         if (running.mOutcome == Outcome.TIMEOUT) {
             return; // cancelled by the home node, which has reported it as stalled
         }
-        boolean late = running.mStalled && running.mOutcome == Outcome.OK;
+        boolean late = running.mStallReports > 0 && running.mOutcome == Outcome.OK;
         Outcome outcome = late ? Outcome.LATE : running.mOutcome;
-        observer.observe(running.mLane, latencyNanos, running.mInFlight, outcome);
+        observer.observe(running.mLane, serviceNanos, outcome);
     }
 
     private void dispatch(Lane lane, double nowNanos, GroupCondition condition) {
@@ -139,18 +146,14 @@
         }
         Running running = new Running();
         running.mLane = lane;
-        running.mDispatchedNanos = nowNanos;
-        running.mInFlight = mRunning.size();
+        running.mTicket = mTimer.dispatch();
         running.mOutcome = drawOutcome(lane, condition);
         double startNanos = Math.max(Math.max(nowNanos, mSlotFreeNanos[slot]), mPausedUntilNanos);
         boolean hangs = running.mOutcome == Outcome.TIMEOUT;
         double serviceNanos = drawService(lane) * slowness(condition);
         running.mEndNanos = hangs ? nowNanos + CANCEL_NANOS : startNanos + serviceNanos;
         mSlotFreeNanos[slot] = running.mEndNanos;
-        double turns = Math.max(1, (running.mInFlight + 1.0) / mCase.slots());
-        boolean progresses = lane == Lane.LONG && !hangs;
-        running.mStallNanos =
-                progresses ? Double.MAX_VALUE : nowNanos + turns * HealthDetector.STALL_NANOS;
+        running.mProgresses = lane == Lane.LONG && !hangs;
         mRunning.add(running);
     }
 
@@ -178,6 +181,10 @@
                 return faulty;
             }
         }
+        boolean stuck = mCase.noise() == DetectionCase.Noise.STUCK;
+        if (stuck && mRandom.nextDouble() < STUCK_SHARE) {
+            return Outcome.TIMEOUT;
+        }
         return mRandom.nextDouble() < condition.errorShare() ? Outcome.WRONG : Outcome.OK;
     }
 
