Halve the weight of failed probes and lower the weight of slow requests

Cause: at 1 request/s a suspicious endpoint sends many probes, and only the bad ones counted. Change: a failed probe counts half; slow probes add at most half of the evidence of ordinary requests; slow requests weigh 0.85; sick score 12 instead of 13.

--- a/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceJudge.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceJudge.java
@@ -12,6 +12,10 @@
 
     private static final double USUAL_SLOW_RATE = 0.12;
     private static final double FAULTY_SLOW_RATE = 0.45;
+
+    /** Slow requests come in groups more often than a random sequence has them. */
+    private static final double SLOW_WEIGHT = 0.85;
+
     private static final double LOWEST_USUAL_FAILURE_RATE = 0.005;
     private static final double FAULTY_FAILURE_RATE = 0.3;
     private static final double LOWEST_USUAL_STALL_RATE = 0.004;
@@ -29,11 +33,12 @@
     private static final double HIGHEST_RATE = 0.95;
 
     /** Sick above this score at 1 request/s. */
-    private static final double SICK_SCORE = 13;
+    private static final double SICK_SCORE = 12;
 
     /** Halves the evidence of stalls in 10 s, so that rare single ones do not add up. */
     private static final double STALL_DECAY_PER_BUCKET = 0.966;
 
+    private static final double PROBE_SHARE = 0.5;
     private static final double SUSPECT_SHARE = 0.25;
     private static final double LIMIT_SHARE = 1.5;
 
@@ -106,17 +111,19 @@
         int refused = 0;
         for (Lane lane : Lane.values()) {
             LaneBucket bucket = lanes[lane.ordinal()];
-            failed += bucket.mFailed;
+            failed += lane == Lane.PROBE ? 0 : bucket.mFailed;
             stalled += bucket.mStalled;
             refused += bucket.mRefused;
             if (lane != Lane.PROBE) {
-                // A server may treat probes well: a good one takes no evidence back.
+                // A server may treat probes well: a good one takes no evidence back, and for
+                // that a bad one counts half.
                 good += bucket.mRequests - bucket.mFailed - bucket.mStalled - bucket.mRefused;
             }
         }
-        if (failed + stalled > 0) {
-            mFailureCount = failed + stalled;
-            mFailureRequests = good + failed + stalled;
+        int failedProbes = lanes[Lane.PROBE.ordinal()].mFailed;
+        if (failed + failedProbes + stalled > 0) {
+            mFailureCount = failed + failedProbes + stalled;
+            mFailureRequests = good + mFailureCount;
         }
         double groupFailed = Math.max(before.failed(), after.failed());
         double usualFailed = Math.max(groupFailed, Math.max(mGroupFailureRate, mPastFailureRate));
@@ -125,7 +132,15 @@
                 failed,
                 good,
                 Math.max(LOWEST_USUAL_FAILURE_RATE, GROUP_MARGIN * usualFailed),
-                FAULTY_FAILURE_RATE);
+                FAULTY_FAILURE_RATE,
+                1);
+        addRate(
+                mFailures,
+                failedProbes,
+                0,
+                Math.max(LOWEST_USUAL_FAILURE_RATE, GROUP_MARGIN * usualFailed),
+                FAULTY_FAILURE_RATE,
+                PROBE_SHARE);
         mStalls.decay(STALL_DECAY_PER_BUCKET);
         double groupStalled = Math.max(before.stalled(), after.stalled());
         addRate(
@@ -133,22 +148,24 @@
                 stalled,
                 good + failed,
                 Math.max(LOWEST_USUAL_STALL_RATE, GROUP_MARGIN * groupStalled),
-                FAULTY_STALL_RATE);
+                FAULTY_STALL_RATE,
+                1);
         double groupRefused = Math.max(before.refused(), after.refused());
         addRate(
                 mRefusals,
                 refused,
                 good + failed + stalled,
                 Math.max(LOWEST_USUAL_REFUSAL_RATE, 2 * groupRefused),
-                FAULTY_REFUSAL_RATE);
+                FAULTY_REFUSAL_RATE,
+                1);
     }
 
     private static void addRate(
-            EvidenceScore score, int bad, int good, double usual, double faulty) {
+            EvidenceScore score, int bad, int good, double usual, double faulty, double weight) {
         double usualRate = Math.min(usual, HIGHEST_RATE - 0.1);
         double faultyRate = Math.min(HIGHEST_RATE, Math.max(faulty, usualRate + 0.1));
         if (bad + good > 0) {
-            score.add(bad, Math.max(0, good), usualRate, faultyRate, 1);
+            score.add(bad, Math.max(0, good), usualRate, faultyRate, weight);
         }
     }
 
@@ -161,7 +178,7 @@
         double limit = SLOW_FACTOR * Math.max(groupUpperMicros, own);
         int slow = bucket.countAbove(limit);
         EvidenceScore score = lane == Lane.PROBE ? mSlowProbes : mSlow;
-        score.add(slow, bucket.mSamples - slow, USUAL_SLOW_RATE, FAULTY_SLOW_RATE, 1);
+        score.add(slow, bucket.mSamples - slow, USUAL_SLOW_RATE, FAULTY_SLOW_RATE, SLOW_WEIGHT);
         if (slow > 0) {
             mSlowLane = lane;
             mSlowCount = slow;
@@ -232,11 +249,11 @@
     }
 
     /**
-     * Probes at most double the evidence of ordinary requests: a suspicious endpoint sends many of
-     * them before the rare probes of the others show a slowness that they share.
+     * Probes add at most half of the evidence of ordinary requests: a suspicious endpoint sends
+     * many of them before the rare probes of the others show a slowness that they share.
      */
     private double slowScore() {
-        return mSlow.value() + Math.min(mSlow.value(), mSlowProbes.value());
+        return mSlow.value() + Math.min(PROBE_SHARE * mSlow.value(), mSlowProbes.value());
     }
 
     private double score() {
@@ -248,8 +265,9 @@
     public String toString() {
         return String.format(
                 Locale.ROOT,
-                "scores: slow %.1f, failures %.1f, stalls %.1f, refusals %.1f; last slow bucket: %d of %d %s"
-                        + " requests above %.1f ms; last bucket with failures: %d of %d requests",
+                "scores: slow %.1f, failures %.1f, stalls %.1f, refusals %.1f;"
+                        + " last slow bucket: %d of %d %s requests above %.1f ms;"
+                        + " last bucket with failures: %d of %d requests",
                 slowScore(),
                 mFailures.value(),
                 mStalls.value(),
