Add fault relay between nodes and restarts in the local fleet

Cause: faults of the network between nodes could not be produced over real sockets. Change: FaultRelay passes the connections to one node on and resets them, makes open ones silent, holds back one direction, delays, duplicates whole frames and cuts them off. InProcessFleet starts relayed nodes, and stops and starts nodes and backend servers again.

--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fault/FaultRelay.java
@@ -0,0 +1,166 @@
+package org.arbutuslock.testbed.fault;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Passes the connections of other nodes to one node on and applies faults to them. Frames are
+ * recognized by their length of 4 bytes. Thread safe.
+ *
+ * <pre>{@code
+ * FaultRelay relay = FaultRelay.start(node, loops, seed);
+ * relay.setFaults(RelayFaults.none().withHeld(RelayDirection.FROM_NODE));
+ * relay.resetConnections();
+ * }</pre>
+ */
+public final class FaultRelay implements AutoCloseable {
+    /** What happens to one frame. */
+    enum Effect {
+        PASS,
+        DUPLICATE,
+        CUT
+    }
+
+    private final InetSocketAddress mTarget;
+    private final SplittableRandom mRandom;
+    private final Set<RelayConnection> mConnections = ConcurrentHashMap.newKeySet();
+    private final LongAdder mDuplicated = new LongAdder();
+    private final LongAdder mCut = new LongAdder();
+    private final Channel mListener;
+    private volatile RelayFaults mFaults = RelayFaults.none();
+
+    private FaultRelay(InetSocketAddress target, EventLoopGroup loops, long seed) {
+        mTarget = target;
+        mRandom = new SplittableRandom(seed);
+        mListener = listen(loops);
+    }
+
+    /**
+     * Starts a relay on a free port of the loopback address.
+     *
+     * @param target address of the node
+     * @param loops event loops of the connections; the caller shuts them down
+     * @param seed seed of the choice of duplicated and cut frames
+     * @return the running relay
+     */
+    public static FaultRelay start(InetSocketAddress target, EventLoopGroup loops, long seed) {
+        return new FaultRelay(target, loops, seed);
+    }
+
+    private Channel listen(EventLoopGroup loops) {
+        return new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                accept(channel);
+                            }
+                        })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    private void accept(Channel channel) {
+        RelayConnection connection = new RelayConnection(this, channel);
+        mConnections.add(connection);
+        connection.open(mTarget);
+    }
+
+    void forget(RelayConnection connection) {
+        mConnections.remove(connection);
+    }
+
+    /**
+     * Returns the address to which nodes connect.
+     *
+     * @return loopback address and port
+     */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(
+                "127.0.0.1", ((InetSocketAddress) mListener.localAddress()).getPort());
+    }
+
+    /**
+     * Replaces the faults of all connections. What was held back is passed on when it no longer is,
+     * even if its sender has closed the connection meanwhile.
+     *
+     * @param faults wanted faults
+     */
+    public void setFaults(RelayFaults faults) {
+        mFaults = faults;
+        mConnections.forEach(RelayConnection::drain);
+    }
+
+    /** Resets all open connections. */
+    public void resetConnections() {
+        mConnections.forEach(RelayConnection::reset);
+    }
+
+    /** Makes all open connections silent for good; new ones work. */
+    public void silenceConnections() {
+        mConnections.forEach(RelayConnection::silence);
+    }
+
+    /**
+     * Counts the frames that were passed on twice.
+     *
+     * @return frames
+     */
+    public long duplicatedFrames() {
+        return mDuplicated.sum();
+    }
+
+    /**
+     * Counts the frames in the middle of which connections were reset.
+     *
+     * @return frames
+     */
+    public long cutFrames() {
+        return mCut.sum();
+    }
+
+    RelayFaults faults() {
+        return mFaults;
+    }
+
+    Effect drawEffect() {
+        RelayFaults faults = mFaults;
+        if (faults.duplicateShare() + faults.cutShare() == 0) {
+            return Effect.PASS;
+        }
+        double draw;
+        synchronized (mRandom) {
+            draw = mRandom.nextDouble();
+        }
+        if (draw < faults.duplicateShare()) {
+            mDuplicated.increment();
+            return Effect.DUPLICATE;
+        }
+        if (draw < faults.duplicateShare() + faults.cutShare()) {
+            mCut.increment();
+            return Effect.CUT;
+        }
+        return Effect.PASS;
+    }
+
+    /** Stops to listen and resets all connections. */
+    @Override
+    public void close() {
+        mListener.close().syncUninterruptibly();
+        resetConnections();
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fault/RelayConnection.java
@@ -0,0 +1,137 @@
+package org.arbutuslock.testbed.fault;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.net.InetSocketAddress;
+import org.arbutuslock.internal.messages.PeerMessageCodec;
+
+/** One relayed connection. Confined to the event loop of the accepted channel. */
+final class RelayConnection {
+    private final Channel mAccepted;
+    private final RelayPipe mToNode;
+    private final RelayPipe mFromNode;
+    private final FaultRelay mRelay;
+    private Channel mConnected;
+    private int mOpen;
+
+    RelayConnection(FaultRelay relay, Channel accepted) {
+        mRelay = relay;
+        mAccepted = accepted;
+        mToNode = new RelayPipe(relay, this, RelayDirection.TO_NODE);
+        mFromNode = new RelayPipe(relay, this, RelayDirection.FROM_NODE);
+    }
+
+    /** Connects to the node; frames that arrive meanwhile wait in the socket. */
+    void open(InetSocketAddress target) {
+        mAccepted.config().setAutoRead(false);
+        count(mAccepted);
+        ChannelFuture connecting =
+                new Bootstrap()
+                        .group(mAccepted.eventLoop())
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.AUTO_READ, false)
+                        .handler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        install(channel, mFromNode);
+                                    }
+                                })
+                        .connect(target);
+        count(connecting.channel());
+        connecting.addListener(
+                connected -> {
+                    if (connected.isSuccess()) {
+                        start(connecting.channel());
+                    } else {
+                        mAccepted.close();
+                    }
+                });
+    }
+
+    /** Lets the relay forget this connection when both of its channels are closed. */
+    private void count(Channel channel) {
+        mOpen++;
+        channel.closeFuture()
+                .addListener(
+                        closed -> {
+                            mOpen--;
+                            if (mOpen == 0) {
+                                mToNode.discard();
+                                mFromNode.discard();
+                                mRelay.forget(this);
+                            }
+                        });
+    }
+
+    private void start(Channel connected) {
+        mConnected = connected;
+        mToNode.connect(mAccepted, connected);
+        mFromNode.connect(connected, mAccepted);
+        install(mAccepted, mToNode);
+        if (!mAccepted.isActive()) {
+            connected.close();
+            return;
+        }
+        mAccepted.config().setAutoRead(true);
+        connected.config().setAutoRead(true);
+    }
+
+    private static void install(Channel channel, RelayPipe pipe) {
+        // Keeps the length in the frame, which is passed on as it came.
+        channel.pipeline()
+                .addLast(
+                        new LengthFieldBasedFrameDecoder(
+                                PeerMessageCodec.MAXIMUM_MESSAGE_BYTES, 0, Integer.BYTES, 0, 0))
+                .addLast(pipe);
+    }
+
+    /** Resets both connections; what is on the way is lost. Any thread. */
+    void reset() {
+        mAccepted.eventLoop().execute(this::resetNow);
+    }
+
+    private void resetNow() {
+        closeWithReset(mAccepted);
+        if (mConnected != null) {
+            closeWithReset(mConnected);
+        }
+        mToNode.discard();
+        mFromNode.discard();
+    }
+
+    private static void closeWithReset(Channel channel) {
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
+    }
+
+    /** Delivers nothing any more, in both directions, while both connections stay open. */
+    void silence() {
+        mAccepted
+                .eventLoop()
+                .execute(
+                        () -> {
+                            mToNode.silence();
+                            mFromNode.silence();
+                        });
+    }
+
+    /** Passes on what is no longer held back. Any thread. */
+    void drain() {
+        mAccepted
+                .eventLoop()
+                .execute(
+                        () -> {
+                            mToNode.drain();
+                            mFromNode.drain();
+                        });
+    }
+}
--- a/testbed/src/main/java/org/arbutuslock/testbed/fleet/FleetSettings.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fleet/FleetSettings.java
@@ -48,4 +48,28 @@
                 new NodeSettings.Limits(KEPT_BYTES, QUEUE_LENGTH, DRAIN_SECONDS, CONNECTIONS),
                 Optional.empty());
     }
+
+    /**
+     * Changes the address at which other nodes reach a node.
+     *
+     * @param settings settings of the node
+     * @param advertised the address
+     * @return changed settings
+     */
+    public static NodeSettings withAdvertisedAddress(
+            NodeSettings settings, InetSocketAddress advertised) {
+        return new NodeSettings(
+                settings.nodeName(),
+                settings.region(),
+                settings.availabilityZone(),
+                settings.callers(),
+                new NodeSettings.Peers(
+                        settings.peers().address(), advertised, settings.peers().seeds()),
+                settings.announcements(),
+                settings.operators(),
+                settings.metrics(),
+                settings.store(),
+                settings.limits(),
+                settings.tls());
+    }
 }
--- a/testbed/src/main/java/org/arbutuslock/testbed/fleet/InProcessFleet.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fleet/InProcessFleet.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.arbutuslock.api.Clock;
@@ -24,7 +25,9 @@
 import org.arbutuslock.internal.settings.NodeSettings;
 import org.arbutuslock.testbed.backend.BackendServer;
 import org.arbutuslock.testbed.backend.BackendSettings;
+import org.arbutuslock.testbed.backend.ExecutionRecord;
 import org.arbutuslock.testbed.backend.WorkTimes;
+import org.arbutuslock.testbed.fault.FaultRelay;
 import org.arbutuslock.testbed.store.StoreServer;
 
 /**
@@ -44,19 +47,22 @@
     private static final Duration AWAIT_LIMIT = Duration.ofSeconds(20);
     private static final Duration AWAIT_POLL = Duration.ofMillis(10);
     private static final int BACKEND_QUEUE = 1_000;
-    private static final int BACKEND_THREADS = 2;
+    private static final int THREADS = 2;
 
     private final long mSeed;
     private final StoreServer mStore;
-    private final EventLoopGroup mBackendLoops;
+    private final EventLoopGroup mLoops;
     private final Map<String, NodeSettings> mSettings = new LinkedHashMap<>();
     private final Map<String, Node> mNodes = new LinkedHashMap<>();
+    private final Map<String, FaultRelay> mRelays = new LinkedHashMap<>();
     private final Map<String, BackendServer> mBackends = new LinkedHashMap<>();
+    private final Map<String, BackendSettings> mBackendSettings = new LinkedHashMap<>();
+    private final List<ExecutionRecord> mExecutions = new ArrayList<>();
 
     private InProcessFleet(long seed, StoreServer store) {
         mSeed = seed;
         mStore = store;
-        mBackendLoops = new MultiThreadIoEventLoopGroup(BACKEND_THREADS, NioIoHandler.newFactory());
+        mLoops = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
     }
 
     /**
@@ -81,14 +87,46 @@
      */
     public Node addNode(String name, String region, String availabilityZone)
             throws PluginException {
+        mSettings.put(name, createSettings(name, region, availabilityZone));
+        return startNode(name);
+    }
+
+    /**
+     * Starts a node that other nodes reach only through a {@link FaultRelay}.
+     *
+     * @param name name of the node
+     * @param region region of the node
+     * @param availabilityZone availability zone of the node
+     * @return the node
+     * @throws PluginException when it cannot start
+     */
+    public Node addRelayedNode(String name, String region, String availabilityZone)
+            throws PluginException {
+        NodeSettings settings = createSettings(name, region, availabilityZone);
+        FaultRelay relay =
+                FaultRelay.start(settings.peers().address(), mLoops, mSeed + mRelays.size());
+        mRelays.put(name, relay);
+        mSettings.put(name, FleetSettings.withAdvertisedAddress(settings, relay.address()));
+        return startNode(name);
+    }
+
+    private NodeSettings createSettings(String name, String region, String availabilityZone) {
         List<InetSocketAddress> seeds =
                 mSettings.values().stream()
                         .map(settings -> settings.peers().advertisedAddress())
                         .toList();
-        NodeSettings settings =
-                FleetSettings.create(name, region, availabilityZone, mStore.address(), seeds);
-        mSettings.put(name, settings);
-        Node node = Node.start(settings, Clock.system());
+        return FleetSettings.create(name, region, availabilityZone, mStore.address(), seeds);
+    }
+
+    /**
+     * Starts a stopped node again with the same settings and a new incarnation.
+     *
+     * @param name name of the node
+     * @return the node
+     * @throws PluginException when it cannot start
+     */
+    public Node startNode(String name) throws PluginException {
+        Node node = Node.start(mSettings.get(name), Clock.system());
         mNodes.put(name, node);
         return node;
     }
@@ -115,11 +153,42 @@
                         times,
                         Optional.of(mSettings.get(node).announcements().address()),
                         mSeed + mBackends.size());
-        BackendServer backend = BackendServer.start(settings, Clock.system(), mBackendLoops);
+        mBackendSettings.put(name, settings);
+        return startBackend(name);
+    }
+
+    /**
+     * Starts a stopped backend server again, at another port.
+     *
+     * @param name name of the backend server
+     * @return the backend server
+     */
+    public BackendServer startBackend(String name) {
+        BackendServer backend =
+                BackendServer.start(mBackendSettings.get(name), Clock.system(), mLoops);
         mBackends.put(name, backend);
+        mExecutions.add(backend.executions());
         return backend;
     }
 
+    /**
+     * Stops a backend server at once, in the middle of its responses.
+     *
+     * @param name name of the backend server
+     */
+    public void stopBackend(String name) {
+        mBackends.remove(name).close();
+    }
+
+    /**
+     * Returns what all backend servers executed, those that were stopped included.
+     *
+     * @return one record for each run of a backend server
+     */
+    public List<ExecutionRecord> executions() {
+        return List.copyOf(mExecutions);
+    }
+
     /**
      * Submits a configuration change through the first node and waits until every node has it.
      *
@@ -195,7 +264,17 @@
     }
 
     /**
-     * Returns all stand-in backend servers.
+     * Returns the relay of a node.
+     *
+     * @param name name of a node added by {@link #addRelayedNode}
+     * @return its relay
+     */
+    public FaultRelay relay(String name) {
+        return mRelays.get(name);
+    }
+
+    /**
+     * Returns all running stand-in backend servers.
      *
      * @return servers by name
      */
@@ -225,7 +304,8 @@
     public void close() {
         new ArrayList<>(mBackends.values()).forEach(BackendServer::close);
         new ArrayList<>(mNodes.values()).forEach(Node::stop);
+        mRelays.values().forEach(FaultRelay::close);
         mStore.close();
-        mBackendLoops.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
