Recognize duplicated body parts by their position

Cause: only Submit frames were recognized as duplicates. A duplicated ResponseBody or RequestBody frame was appended a second time, and a caller got a corrupt download as complete. A duplicated Hello closed the session. Ruled out: the relay, which passes whole frames on (FaultRelayTest), and mixed-up responses, since every wrong body occurred while frames were duplicated. Change: body parts carry their position; a part before the expected position is dropped, one after it closes the session. A second Hello is ignored.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -30,7 +30,7 @@
     private final ChannelMessages mChannelMessages;
     private final Runnable mOnSuspected;
     private final CompletableFuture<ClientSession> mReady = new CompletableFuture<>();
-    private final Map<Long, ResponseListener> mStreams = new HashMap<>();
+    private final Map<Long, Stream> mStreams = new HashMap<>();
     private final Map<Long, CompletableFuture<OutcomeReport>> mQueries = new HashMap<>();
     private volatile PeerMessage.HelloReply mRemote;
     private long mLastStream;
@@ -107,8 +107,7 @@
                             head.stream(),
                             new ResponseEvent.Head(head.status(), head.headers(), head.load()),
                             false);
-            case PeerMessage.ResponseBody(long stream, byte[] data, boolean last) ->
-                    deliver(stream, new ResponseEvent.Body(data, last), last);
+            case PeerMessage.ResponseBody part -> deliverBody(part);
             case PeerMessage.Refusal refusal ->
                     deliver(
                             refusal.stream(),
@@ -152,23 +151,38 @@
     }
 
     private void deliver(long stream, ResponseEvent event, boolean last) {
-        ResponseListener listener = last ? mStreams.remove(stream) : mStreams.get(stream);
-        // A listener is missing when the stream was cancelled or the frame arrived twice.
-        if (listener != null) {
-            listener.handle(event);
+        Stream open = last ? mStreams.remove(stream) : mStreams.get(stream);
+        // The stream is missing when it was cancelled or the frame arrived twice.
+        if (open != null) {
+            open.mListener.handle(event);
         }
     }
 
+    private void deliverBody(PeerMessage.ResponseBody part) {
+        Stream open = mStreams.get(part.stream());
+        if (open == null || part.position() < open.mReceivedBytes) {
+            return;
+        }
+        if (part.position() > open.mReceivedBytes) {
+            close(describeGap(part.stream(), part.position(), open.mReceivedBytes));
+            return;
+        }
+        open.mReceivedBytes += part.data().length;
+        deliver(part.stream(), new ResponseEvent.Body(part.data(), part.last()), part.last());
+    }
+
     @Override
     void closed(String reason) {
         mReady.completeExceptionally(new IllegalStateException(reason));
         mQueries.values()
                 .forEach(query -> query.completeExceptionally(new IllegalStateException(reason)));
         mQueries.clear();
-        var listeners = new ArrayList<>(mStreams.values());
+        var open = new ArrayList<>(mStreams.values());
         mStreams.clear();
-        listeners.forEach(
-                listener -> listener.handle(new ResponseEvent.SessionLost(submission(), reason)));
+        open.forEach(
+                stream ->
+                        stream.mListener.handle(
+                                new ResponseEvent.SessionLost(submission(), reason)));
     }
 
     Submission submission() {
@@ -199,6 +213,16 @@
         }
     }
 
+    /** A request whose response is not complete. */
+    private static final class Stream {
+        private final ResponseListener mListener;
+        private long mReceivedBytes;
+
+        private Stream(ResponseListener listener) {
+            mListener = listener;
+        }
+    }
+
     private final class StreamExchange implements Exchange {
         private long mStream;
 
@@ -210,7 +234,7 @@
                 return;
             }
             mStream = ++mLastStream;
-            mStreams.put(mStream, listener);
+            mStreams.put(mStream, new Stream(listener));
             send(toSubmit(request));
             sendBody(request.body());
         }
@@ -238,7 +262,8 @@
             int part = PeerMessage.MAXIMUM_BODY_PART_BYTES;
             for (int from = 0; from < body.length; from += part) {
                 int until = Math.min(body.length, from + part);
-                send(new PeerMessage.RequestBody(mStream, Arrays.copyOfRange(body, from, until)));
+                byte[] data = Arrays.copyOfRange(body, from, until);
+                send(new PeerMessage.RequestBody(mStream, from, data));
             }
         }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
@@ -59,6 +59,11 @@
     /** Handles a late heartbeat reply, on the event loop. */
     abstract void suspected();
 
+    /** Describes a missing body part, which a connection that keeps the order never causes. */
+    static String describeGap(long stream, long position, long expected) {
+        return "stream " + stream + ": body part at " + position + ", allowed " + expected;
+    }
+
     /** Returns the name of the other side for logs. */
     abstract String peerName();
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -47,7 +47,7 @@
         }
         switch (message) {
             case PeerMessage.Submit submit -> receiveSubmit(submit);
-            case PeerMessage.RequestBody(long stream, byte[] data) -> receiveBody(stream, data);
+            case PeerMessage.RequestBody part -> receiveBody(part);
             case PeerMessage.Credit(long stream, int bytes) -> {
                 Exchange exchange = mExchanges.get(stream);
                 if (exchange != null) {
@@ -59,6 +59,7 @@
             case PeerMessage.Acknowledge acknowledge ->
                     mHomeNode.acknowledge(acknowledge.requestId());
             case PeerMessage.ChannelMessage channelMessage -> dispatch(channelMessage);
+            case PeerMessage.Hello duplicate -> {}
             default -> close("unexpected " + message.getClass().getSimpleName());
         }
     }
@@ -111,11 +112,17 @@
         incoming.startIfComplete();
     }
 
-    private void receiveBody(long stream, byte[] data) {
-        Incoming incoming = mIncoming.get(stream);
-        if (incoming != null) {
-            incoming.append(data);
+    private void receiveBody(PeerMessage.RequestBody part) {
+        Incoming incoming = mIncoming.get(part.stream());
+        // A duplicated frame may also arrive after the last part.
+        if (incoming == null || part.position() < incoming.mLength) {
+            return;
+        }
+        if (part.position() > incoming.mLength) {
+            close(describeGap(part.stream(), part.position(), incoming.mLength));
+            return;
         }
+        incoming.append(part.data());
     }
 
     private void cancel(long stream) {
@@ -141,13 +148,14 @@
         }
     }
 
-    private void forward(long stream, ResponseEvent event) {
+    private void forward(StreamListener listener, ResponseEvent event) {
+        long stream = listener.mStream;
         switch (event) {
             case ResponseEvent.Head head ->
                     send(
                             new PeerMessage.ResponseHead(
                                     stream, head.status(), head.headers(), head.load()));
-            case ResponseEvent.Body(byte[] data, boolean last) -> sendParts(stream, data, last);
+            case ResponseEvent.Body(byte[] data, boolean last) -> sendParts(listener, data, last);
             case ResponseEvent.Refused refused -> {
                 finish(stream);
                 send(
@@ -163,19 +171,22 @@
         }
     }
 
-    private void sendParts(long stream, byte[] data, boolean last) {
+    private void sendParts(StreamListener listener, byte[] data, boolean last) {
+        long stream = listener.mStream;
+        long position = listener.mSentBytes;
+        listener.mSentBytes += data.length;
         int part = PeerMessage.MAXIMUM_BODY_PART_BYTES;
         int from = 0;
         while (data.length - from > part) {
             byte[] slice = Arrays.copyOfRange(data, from, from + part);
-            send(new PeerMessage.ResponseBody(stream, slice, false));
+            send(new PeerMessage.ResponseBody(stream, position + from, slice, false));
             from += part;
         }
         byte[] rest = from == 0 ? data : Arrays.copyOfRange(data, from, data.length);
         if (last) {
             finish(stream);
         }
-        send(new PeerMessage.ResponseBody(stream, rest, last));
+        send(new PeerMessage.ResponseBody(stream, position + from, rest, last));
     }
 
     /** Forgets the exchange of a stream; its queued body parts are still sent. */
@@ -270,6 +281,7 @@
     /** Remembers the end of a response that finishes before its exchange is registered. */
     private final class StreamListener implements ResponseListener {
         private final long mStream;
+        private long mSentBytes;
         private volatile boolean mFinished;
 
         private StreamListener(long stream) {
@@ -287,7 +299,7 @@
                             || event instanceof ResponseEvent.Body(byte[] data, boolean last)
                                     && !last;
             mFinished = !more;
-            forward(mStream, event);
+            forward(this, event);
         }
     }
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
@@ -107,9 +107,10 @@
      * Part of a request body.
      *
      * @param stream stream number
+     * @param position bytes of the body before this part; recognizes a duplicated frame
      * @param data bytes of this part
      */
-    record RequestBody(long stream, byte[] data) implements PeerMessage {}
+    record RequestBody(long stream, long position, byte[] data) implements PeerMessage {}
 
     /**
      * Allows the home node to send more of a response body.
@@ -139,10 +140,12 @@
      * Part of a response body.
      *
      * @param stream stream number
+     * @param position bytes of the body before this part; recognizes a duplicated frame
      * @param data bytes of this part
      * @param last true when the response is complete
      */
-    record ResponseBody(long stream, byte[] data, boolean last) implements PeerMessage {}
+    record ResponseBody(long stream, long position, byte[] data, boolean last)
+            implements PeerMessage {}
 
     /**
      * The request was not executed and never will be; recorded in the execution ledger.
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
@@ -53,14 +53,18 @@
             case PeerMessage.HeartbeatReply(long number) ->
                     start(writer, Type.HEARTBEAT_REPLY).writeLong(number);
             case PeerMessage.Submit submit -> writeSubmit(writer, submit);
-            case PeerMessage.RequestBody(long stream, byte[] data) ->
-                    start(writer, Type.REQUEST_BODY).writeLong(stream).writeBinary(data);
+            case PeerMessage.RequestBody(long stream, long position, byte[] data) ->
+                    start(writer, Type.REQUEST_BODY)
+                            .writeLong(stream)
+                            .writeLong(position)
+                            .writeBinary(data);
             case PeerMessage.Credit(long stream, int bytes) ->
                     start(writer, Type.CREDIT).writeLong(stream).writeLong(bytes);
             case PeerMessage.ResponseHead head -> writeResponseHead(writer, head);
-            case PeerMessage.ResponseBody(long stream, byte[] data, boolean last) ->
+            case PeerMessage.ResponseBody(long stream, long position, byte[] data, boolean last) ->
                     start(writer, Type.RESPONSE_BODY)
                             .writeLong(stream)
+                            .writeLong(position)
                             .writeBinary(data)
                             .writeBoolean(last);
             case PeerMessage.Refusal refusal -> writeRefusal(writer, refusal);
@@ -117,7 +121,10 @@
             case HEARTBEAT_REPLY -> new PeerMessage.HeartbeatReply(readNumber(reader, "number"));
             case SUBMIT -> readSubmit(reader);
             case REQUEST_BODY ->
-                    new PeerMessage.RequestBody(readNumber(reader, "stream"), readPart(reader));
+                    new PeerMessage.RequestBody(
+                            readNumber(reader, "stream"),
+                            readNumber(reader, "position"),
+                            readPart(reader));
             case CREDIT ->
                     new PeerMessage.Credit(
                             readNumber(reader, "stream"),
@@ -131,6 +138,7 @@
             case RESPONSE_BODY ->
                     new PeerMessage.ResponseBody(
                             readNumber(reader, "stream"),
+                            readNumber(reader, "position"),
                             readPart(reader),
                             reader.readBoolean("last"));
             case REFUSAL ->
@@ -372,10 +380,10 @@
         HEARTBEAT(2),
         HEARTBEAT_REPLY(2),
         SUBMIT(14),
-        REQUEST_BODY(3),
+        REQUEST_BODY(4),
         CREDIT(3),
         RESPONSE_HEAD(5),
-        RESPONSE_BODY(4),
+        RESPONSE_BODY(5),
         REFUSAL(5),
         OUTCOME_UNKNOWN(4),
         CANCEL(2),
--- a/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageCodecTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageCodecTest.java
@@ -42,14 +42,14 @@
     @Test
     public void should_reject_a_length_before_memory_is_allocated() {
         byte[] claimsTwoGigabytes = {
-            (byte) 0x93, 5, 1, (byte) 0xc6, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff
+            (byte) 0x94, 5, 1, 0, (byte) 0xc6, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff
         };
         MessageFormatException error =
                 expectThrows(
                         MessageFormatException.class,
                         () -> PeerMessageCodec.decode(claimsTwoGigabytes));
         assertEquals(
-                error.getMessage(), "byte 8, field data: length 2147483647, allowed 0 to 16384");
+                error.getMessage(), "byte 9, field data: length 2147483647, allowed 0 to 16384");
     }
 
     @Test
