Open a new local session when the local one is fenced

Cause: the entry node's side of a process opened one session to its own home node and used it for good. An outcome query for a request without record, which any caller can cause through another node, and the expiry of an unacknowledged outcome after 120 s both fence that session. From then on every local request had an unknown outcome. Ruled out: sessions of other nodes, which are opened again after their connection closes. Change: HomeNodes opens a new local session when the old one is fenced. A request that arrives on a fenced session is refused as not run, which is true, since it is submitted once. Measured: HomeNodesTest fails before (OutcomeUnknown), passes after. bin/test passes.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/HomeNodes.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/HomeNodes.java
@@ -18,7 +18,7 @@
     private final LocalNode mLocalNode;
     private final HomeNode mLocalHome;
     private final PeerLinks mLinks;
-    private final long mLocalSession;
+    private volatile long mLocalSession;
 
     /**
      * Creates access to all home nodes.
@@ -31,24 +31,27 @@
         mLocalNode = localNode;
         mLocalHome = localHome;
         mLinks = links;
-        mLocalSession = localHome.openSession(() -> {});
+        openLocalSession();
+    }
+
+    /** Opens a session in place of one that was fenced, as another node does after a closure. */
+    private void openLocalSession() {
+        mLocalSession = mLocalHome.openSession(this::openLocalSession);
     }
 
     Exchange submit(NodeRecord node, ExecutionRequest request, ResponseListener listener) {
         if (isLocal(node.node())) {
+            long session = mLocalSession;
             return new LocalExchange(
-                    mLocalHome.submit(mLocalSession, request, listener), localSubmission());
+                    mLocalHome.submit(session, request, listener), localSubmission(session));
         }
         return mLinks.submit(node.peerAddress(), node.node(), request, listener);
     }
 
     CompletableFuture<OutcomeReport> query(RequestId id, Submission submission) {
         if (isLocal(submission.node())) {
-            long session = submission.session();
-            // The local session lives as long as the node, so that it is never fenced.
-            long fenced = session == mLocalSession ? 0 : session;
             return CompletableFuture.completedFuture(
-                    mLocalHome.query(id, submission.incarnation(), fenced));
+                    mLocalHome.query(id, submission.incarnation(), submission.session()));
         }
         return mLinks.query(id, submission);
     }
@@ -62,12 +65,9 @@
     }
 
     /** Describes where a request is submitted at this process's own home node. */
-    private Submission localSubmission() {
+    private Submission localSubmission(long session) {
         return new Submission(
-                mLocalNode.peerAddress(),
-                mLocalNode.name(),
-                mLocalNode.incarnation(),
-                mLocalSession);
+                mLocalNode.peerAddress(), mLocalNode.name(), mLocalNode.incarnation(), session);
     }
 
     private boolean isLocal(String node) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
@@ -160,7 +160,11 @@
                 listener.handle(refusal(RefusalReason.LEDGER_FULL, "too many recent requests"));
                 yield FINISHED;
             }
-            case AdmitResult.SessionFenced fenced -> unknown(listener, "the session is closed");
+            // True, since a request is submitted once, and nothing is admitted after the fence.
+            case AdmitResult.SessionFenced fenced -> {
+                listener.handle(refusal(RefusalReason.SESSION_FENCED, "the session is closed"));
+                yield FINISHED;
+            }
             case AdmitResult.Duplicate duplicate -> unknown(listener, "duplicate request id");
             case AdmitResult.Forgotten forgotten -> unknown(listener, "late copy of a request");
         };
