Report an unknown outcome when an earlier attempt may have run

Cause: an idempotent request whose first attempt failed at the backend server and whose retry was refused was reported as not run although it was executed. The same after a lost session and at the deadline. Change: CallerRequest remembers attempts that may have been executed; a refusal after one of them is an unknown outcome. With several such attempts no id to ask with is given, since the outcome of one says nothing about the others. A lost session no longer takes from the retry budget, and an endpoint to which only the path failed is tried again when no other is left. Measured: RequestPathTest.should_not_claim_not_run_when_a_retry_is_refused gets not-run after 1 execution before, unknown after. bin/test passes.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -45,9 +46,13 @@
     private final long mStartNanos;
     private final long mDeadlineNanos;
     private final Set<EndpointId> mTried = new HashSet<>();
+    private final Set<EndpointId> mPathFailed = new HashSet<>();
+    private final List<Attempt> mPossiblyRun = new ArrayList<>();
+    private Optional<Attempt> mShed = Optional.empty();
     private Optional<Attempt> mAttempt = Optional.empty();
     private Future<?> mDeadline;
     private String mLastRefusal = "no endpoint of the service is known";
+    private String mLastUnknown = "";
     private int mAttempts;
     private boolean mDone;
     private boolean mStarted;
@@ -90,8 +95,7 @@
     }
 
     private void startAttempt() {
-        Optional<FleetSnapshot.Member> chosen =
-                mServices.chooser().choose(route(), mInput.idempotent(), mTried);
+        Optional<FleetSnapshot.Member> chosen = choose();
         if (chosen.isEmpty() || mAttempts == MAXIMUM_ATTEMPTS) {
             refuse();
             return;
@@ -102,6 +106,17 @@
         attempt.start();
     }
 
+    /** Prefers endpoints that were not tried, then those to which only the path failed. */
+    private Optional<FleetSnapshot.Member> choose() {
+        EndpointChooser chooser = mServices.chooser();
+        Optional<FleetSnapshot.Member> untried =
+                chooser.choose(route(), mInput.idempotent(), mTried);
+        if (untried.isPresent() || !mTried.removeAll(mPathFailed)) {
+            return untried;
+        }
+        return chooser.choose(route(), mInput.idempotent(), mTried);
+    }
+
     private void retryOrElse(Runnable otherwise) {
         boolean timeLeft = mServices.clock().nanoTime() < mDeadlineNanos;
         if (!mStarted && timeLeft && mServices.retries().allowRetry(route().service())) {
@@ -132,7 +147,16 @@
         }
     }
 
+    /** Refuses the request, unless an earlier attempt may have been executed. */
     private void refuse() {
+        if (!mPossiblyRun.isEmpty()) {
+            reportUnknown(mLastUnknown + "; then " + mLastRefusal);
+            return;
+        }
+        if (mShed.isPresent()) {
+            mShed.get().sendHeld();
+            return;
+        }
         String text = "not run: " + mLastRefusal + "\n";
         mResponse.sendWhole(
                 TextResponses.create(
@@ -149,7 +173,8 @@
             finish(RequestResult.ABORTED);
             return;
         }
-        String reference = mAttempt.map(Attempt::reference).orElse("");
+        // The outcome of one attempt says nothing when another one may have been executed too.
+        String reference = mPossiblyRun.size() == 1 ? mPossiblyRun.getFirst().reference() : "";
         String text = "outcome unknown: " + detail + "\n";
         mResponse.sendWhole(
                 TextResponses.create(
@@ -165,11 +190,13 @@
             return;
         }
         mAttempt.ifPresent(Attempt::cancel);
-        if (mAttempt.isPresent() && mAttempt.get().submission().isEmpty()) {
-            mLastRefusal = "no session to the home node could be opened before the deadline";
+        String detail = "the deadline of " + route().deadlineMillis() + " ms passed";
+        mAttempt.ifPresent(attempt -> attempt.noteSubmitted(detail));
+        if (mPossiblyRun.isEmpty()) {
+            mLastRefusal = detail;
             refuse();
         } else {
-            reportUnknown("the deadline of " + route().deadlineMillis() + " ms passed");
+            reportUnknown(detail);
         }
     }
 
@@ -233,20 +260,39 @@
                     mLoad = load;
                     end(AttemptResult.SERVER_FAILED);
                     acknowledge();
+                    noteSubmitted(detail);
                     retryIfIdempotent(detail);
                 }
                 case ResponseEvent.SessionLost(Submission submission, String detail) -> {
                     mSubmission = Optional.of(submission);
                     end(AttemptResult.PATH_FAILED);
-                    if (mInput.idempotent()) {
-                        retryIfIdempotent(detail);
-                    } else {
-                        askForOutcome();
-                    }
+                    mPathFailed.add(mMember.endpoint().id());
+                    noteSubmitted(detail);
+                    recoverFromLostSession(detail);
                 }
             }
         }
 
+        /** Notes that this attempt may have been executed, if it was submitted at all. */
+        private void noteSubmitted(String detail) {
+            if (submission().isPresent() && !mPossiblyRun.contains(this)) {
+                mPossiblyRun.add(this);
+            }
+            mLastUnknown = detail;
+        }
+
+        private void recoverFromLostSession(String detail) {
+            boolean timeLeft = mServices.clock().nanoTime() < mDeadlineNanos;
+            if (!mInput.idempotent()) {
+                askForOutcome();
+            } else if (!mStarted && timeLeft) {
+                // Not limited by the retry budget, since a lost session is no sign of overload.
+                startAttempt();
+            } else {
+                reportUnknown(detail);
+            }
+        }
+
         private void handleBody(byte[] data, boolean last) {
             mBytes += data.length;
             if (mStarted) {
@@ -270,6 +316,7 @@
             if (last && shouldRetryShed()) {
                 end(AttemptResult.REFUSED);
                 acknowledge();
+                mShed = Optional.of(this);
                 retryOrElse(this::sendHeld);
             } else if (last) {
                 sendHeld();
@@ -339,6 +386,7 @@
             }
             switch (report.state()) {
                 case NOT_RUN -> {
+                    mPossiblyRun.remove(this);
                     mLastRefusal = "the session to the home node was lost";
                     retryRefused(RefusalReason.CONNECT_FAILED);
                 }
--- a/testbed/src/test/java/org/arbutuslock/testbed/fleet/RequestPathTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/fleet/RequestPathTest.java
@@ -74,6 +74,14 @@
         assertEquals(outcome.headers().firstValue("arbutuslock-outcome").orElse(""), "unknown");
     }
 
+    @Test
+    public void should_not_claim_not_run_when_a_retry_is_refused() throws Exception {
+        mFleet.backends().get("order-hub-1").setFaults(BackendFaults.none().withTruncateShare(1));
+        HttpResponse<byte[]> response = send("GET", "/price", "");
+        assertTrue(mFleet.backends().get("order-hub-1").executions().total() > 0);
+        assertEquals(response.headers().firstValue("arbutuslock-outcome").orElse(""), "unknown");
+    }
+
     @Test
     public void should_refuse_truthfully_when_no_endpoint_is_left() throws Exception {
         mFleet.backends().get("order-hub-1").close();
@@ -122,6 +130,7 @@
                 new ConfigurationOperation.PutService(
                         new ServiceDefinition("order-hub", new Floor.Count(1), 1, 5, 20)),
                 new ConfigurationOperation.PutRoute(route("orders", "/orders", false)),
+                new ConfigurationOperation.PutRoute(route("prices", "/price", true)),
                 new ConfigurationOperation.PutRoute(route("bundles", "/long", true)));
     }
 
