Read from a reused backend connection again

Cause: reading stops when a response has used up its credit. When the end of the response had been received already, the connection went back to the pool with reading stopped, and the next request on it got no response until its deadline. Found by reading the code. Change: BackendConnection resumes reading when it sends a request. Measured: BackendConnectionTest fails before, passes after. bin/test passes.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -60,6 +60,8 @@
         mListener = listener;
         mReusable = false;
         mHeadRequest = request.method().equals("HEAD");
+        // The previous response may have ended while reading was stopped for lack of credit.
+        setReading(true);
         FullHttpRequest message =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
--- /dev/null
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendConnectionTest.java
@@ -0,0 +1,41 @@
+package org.arbutuslock.daemon.internal.home;
+
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.List;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.RequestId;
+import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
+import org.testng.annotations.Test;
+
+/** Guards against a reused connection on which no response is ever read. */
+public class BackendConnectionTest {
+    @Test
+    public void should_read_again_for_the_next_request() {
+        BackendConnection connection = new BackendConnection();
+        EmbeddedChannel channel = new EmbeddedChannel(connection);
+        // The last part of a response can arrive right after reading was stopped.
+        connection.setReading(false);
+        connection.send(request(), 1_000, event -> {});
+        assertTrue(channel.config().isAutoRead());
+        channel.finishAndReleaseAll();
+    }
+
+    private static ExecutionRequest request() {
+        return new ExecutionRequest(
+                new RequestId("a", 9, 16),
+                new EndpointId("orders", "orders-1"),
+                "GET",
+                "/price",
+                List.of(),
+                new byte[0],
+                WorkClass.SHORT,
+                true,
+                "",
+                1,
+                5,
+                1_000_000_000L);
+    }
+}
