Check what callers saw under faults against executions

Change: FaultHistory sends orders, lookups and downloads through random entry nodes while a seeded schedule applies faults, and HistoryCheck compares results with the executions that stand-ins counted by token. FaultHistoryBench is the long version. A planted fault, nodes that are told that orders may be repeated, must be found.

--- a/testbed/src/main/java/org/arbutuslock/testbed/backend/BackendHandler.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/backend/BackendHandler.java
@@ -95,7 +95,8 @@
                                 request.method().name(),
                                 request.uri(),
                                 ByteBufUtil.getBytes(request.content()),
-                                requestId),
+                                requestId,
+                                request.headers().get(WorkRequest.TOKEN_HEADER, "")),
                         () -> finish(context, close));
         if (!mState.queue().submit(mWork)) {
             mWork = null;
--- a/testbed/src/main/java/org/arbutuslock/testbed/backend/ExecutionRecord.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/backend/ExecutionRecord.java
@@ -14,24 +14,43 @@
  * }</pre>
  */
 public final class ExecutionRecord {
+    /** Header by which a test names a request, whatever id the entry node gives it. */
+    public static final String TOKEN_HEADER = "testbed-token";
+
     private static final int MAXIMUM_IDS = 2_000_000;
 
     private final Map<String, Integer> mCounts = new ConcurrentHashMap<>();
+    private final Map<String, Integer> mTokens = new ConcurrentHashMap<>();
     private final AtomicLong mTotal = new AtomicLong();
     private final AtomicLong mUnrecorded = new AtomicLong();
 
     ExecutionRecord() {}
 
-    void add(String requestId) {
+    void add(String requestId, String token) {
         mTotal.incrementAndGet();
-        if (requestId.isEmpty()) {
+        count(mCounts, requestId);
+        count(mTokens, token);
+    }
+
+    private void count(Map<String, Integer> counts, String name) {
+        if (name.isEmpty()) {
             return;
         }
-        if (mCounts.size() >= MAXIMUM_IDS && !mCounts.containsKey(requestId)) {
+        if (counts.size() >= MAXIMUM_IDS && !counts.containsKey(name)) {
             mUnrecorded.incrementAndGet();
             return;
         }
-        mCounts.merge(requestId, 1, Integer::sum);
+        counts.merge(name, 1, Integer::sum);
+    }
+
+    /**
+     * Returns how often a request with a token was executed.
+     *
+     * @param token value of the header {@link #TOKEN_HEADER}
+     * @return executions
+     */
+    public int countToken(String token) {
+        return mTokens.getOrDefault(token, 0);
     }
 
     /**
@@ -47,7 +66,7 @@
      * Counts the executions that were not recorded because the record is full. A history check must
      * require zero.
      *
-     * @return executions of ids beyond the first 2,000,000
+     * @return executions of ids and tokens beyond the first 2,000,000
      */
     public long unrecorded() {
         return mUnrecorded.get();
--- a/testbed/src/main/java/org/arbutuslock/testbed/backend/Work.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/backend/Work.java
@@ -46,7 +46,7 @@
 
     void start() {
         mStarted = true;
-        mState.executions().add(mRequest.requestId());
+        mState.executions().add(mRequest.requestId(), mRequest.token());
         BackendFaults faults = mState.activeFaults();
         mFault = faults.select(mState.draw());
         mFactor = faults.slowFactor() * mState.coldStartFactor();
--- a/testbed/src/main/java/org/arbutuslock/testbed/backend/WorkRequest.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/backend/WorkRequest.java
@@ -7,9 +7,14 @@
  * @param uri path and query
  * @param body whole body
  * @param requestId value of {@link #REQUEST_ID_HEADER}, or empty
+ * @param token value of {@link #TOKEN_HEADER}, or empty
  */
-record WorkRequest(String method, String uri, byte[] body, String requestId) {
+record WorkRequest(String method, String uri, byte[] body, String requestId, String token) {
     static final String REQUEST_ID_HEADER = "arbutuslock-request-id";
+
+    /** Names a request of a caller across all its attempts and ids. */
+    static final String TOKEN_HEADER = ExecutionRecord.TOKEN_HEADER;
+
     static final int MAXIMUM_REQUEST_ID_LENGTH = 256;
 
     boolean isLong() {
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fault/FaultInjector.java
@@ -0,0 +1,144 @@
+package org.arbutuslock.testbed.fault;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.PluginException;
+import org.arbutuslock.testbed.fleet.InProcessFleet;
+
+/**
+ * Applies a schedule to a fleet in which node i is the home node of backend server i. A target has
+ * one lasting fault at a time, and one process is down at a time; further faults are left out.
+ */
+final class FaultInjector implements AutoCloseable {
+    private static final double DUPLICATE_SHARE = 0.3;
+    private static final double CUT_SHARE = 0.01;
+    private static final int PROCESS = -1;
+    private static final int STOP_SECONDS = 30;
+
+    private final InProcessFleet mFleet;
+    private final List<String> mNodes;
+    private final List<String> mBackends;
+    private final FaultSchedule mSchedule;
+    private final ScheduledExecutorService mExecutor =
+            Executors.newSingleThreadScheduledExecutor(
+                    Thread.ofPlatform().name("fault-injector").factory());
+    private final Map<Integer, Runnable> mEnds = new HashMap<>();
+    private final Map<FaultKind, Integer> mApplied = new EnumMap<>(FaultKind.class);
+    private final List<String> mFailures = new ArrayList<>();
+    private final long mStartNanos = System.nanoTime();
+
+    FaultInjector(
+            InProcessFleet fleet,
+            List<String> nodes,
+            List<String> backends,
+            FaultSchedule schedule) {
+        mFleet = fleet;
+        mNodes = nodes;
+        mBackends = backends;
+        mSchedule = schedule;
+    }
+
+    void start() {
+        scheduleNext();
+    }
+
+    private void scheduleNext() {
+        FaultStep step = mSchedule.next();
+        long elapsed = Duration.ofNanos(System.nanoTime() - mStartNanos).toMillis();
+        mExecutor.schedule(
+                () -> applyAndContinue(step),
+                Math.max(0, step.atMillis() - elapsed),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void applyAndContinue(FaultStep step) {
+        try {
+            apply(step);
+        } catch (RuntimeException failed) {
+            mFailures.add(step + ": " + failed);
+        }
+        scheduleNext();
+    }
+
+    private void apply(FaultStep step) {
+        boolean process =
+                step.kind() == FaultKind.NODE_RESTART || step.kind() == FaultKind.BACKEND_RESTART;
+        int key = process ? PROCESS : step.target();
+        if (mEnds.containsKey(key)) {
+            return;
+        }
+        mApplied.merge(step.kind(), 1, Integer::sum);
+        Runnable end = begin(step.kind(), step.target());
+        if (step.durationMillis() > 0) {
+            mEnds.put(key, end);
+            mExecutor.schedule(() -> end(key), step.durationMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void end(int key) {
+        Runnable end = mEnds.remove(key);
+        if (end != null) {
+            end.run();
+        }
+    }
+
+    /** Starts a fault and returns how to end it. */
+    private Runnable begin(FaultKind kind, int target) {
+        FaultRelay relay = mFleet.relay(mNodes.get(target));
+        RelayFaults none = RelayFaults.none();
+        switch (kind) {
+            case RESET -> relay.resetConnections();
+            case SILENCE -> relay.silenceConnections();
+            case DELAY -> relay.setFaults(none.withDelay(Duration.ofMillis(60)));
+            case DUPLICATE -> relay.setFaults(none.withDuplicateShare(DUPLICATE_SHARE));
+            case CUT -> relay.setFaults(none.withCutShare(CUT_SHARE));
+            case PARTITION_TO_NODE -> relay.setFaults(none.withHeld(RelayDirection.TO_NODE));
+            case PARTITION_FROM_NODE -> relay.setFaults(none.withHeld(RelayDirection.FROM_NODE));
+            case NODE_RESTART -> {
+                mFleet.stopNode(mNodes.get(target));
+                return () -> startNode(mNodes.get(target));
+            }
+            case BACKEND_RESTART -> {
+                mFleet.stopBackend(mBackends.get(target));
+                return () -> mFleet.startBackend(mBackends.get(target));
+            }
+        }
+        return () -> relay.setFaults(none);
+    }
+
+    private void startNode(String name) {
+        try {
+            mFleet.startNode(name);
+        } catch (PluginException failed) {
+            throw new IllegalStateException("node " + name + " did not start again", failed);
+        }
+    }
+
+    /** Ends all faults. Nothing is applied afterwards. */
+    @Override
+    public void close() throws InterruptedException {
+        mExecutor.shutdownNow();
+        if (!mExecutor.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS)) {
+            throw new IllegalStateException("a fault did not end within " + STOP_SECONDS + " s");
+        }
+        mEnds.values().forEach(Runnable::run);
+        mEnds.clear();
+    }
+
+    /** Counts the faults that were applied. Call it after {@link #close()}. */
+    Map<FaultKind, Integer> applied() {
+        return mApplied;
+    }
+
+    /** Describes the steps that could not be applied. Call it after {@link #close()}. */
+    List<String> failures() {
+        return mFailures;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fault/HistoryCallers.java
@@ -0,0 +1,183 @@
+package org.arbutuslock.testbed.fault;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import org.arbutuslock.testbed.backend.ExecutionRecord;
+import org.arbutuslock.testbed.fault.HistoryOperation.LaterOutcome;
+import org.arbutuslock.testbed.fault.HistoryOperation.Result;
+
+/** Concurrent callers that record what they sent and what they saw. */
+final class HistoryCallers implements AutoCloseable {
+    private static final Duration TIMEOUT = Duration.ofSeconds(15);
+    private static final int STATUS_OK = 200;
+    private static final String OUTCOME_HEADER = "arbutuslock-outcome";
+    private static final String REQUEST_ID_HEADER = "arbutuslock-request-id";
+    private static final int MAXIMUM_ASKS = 100;
+    private static final Duration ASK_PAUSE = Duration.ofMillis(100);
+
+    private final HttpClient mClient =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .proxy(HttpClient.Builder.NO_PROXY)
+                    .executor(task -> Thread.ofVirtual().start(task))
+                    .build();
+    private final List<String> mEntryNames;
+    private final List<InetSocketAddress> mEntryNodes;
+    private final long mSeed;
+    private final Queue<HistoryOperation> mOperations = new ConcurrentLinkedQueue<>();
+    private final Queue<HistoryRequest> mRequests = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger mSent = new AtomicInteger();
+
+    HistoryCallers(List<String> entryNames, List<InetSocketAddress> entryNodes, long seed) {
+        mEntryNames = List.copyOf(entryNames);
+        mEntryNodes = List.copyOf(entryNodes);
+        mSeed = seed;
+    }
+
+    List<HistoryOperation> operations() {
+        return List.copyOf(mOperations);
+    }
+
+    int sent() {
+        return mSent.get();
+    }
+
+    /** Sends requests from several callers at an average interval each until the total is sent. */
+    void run(int callers, int total, Duration interval) throws InterruptedException {
+        List<Thread> threads = new java.util.ArrayList<>();
+        for (int caller = 0; caller < callers; caller++) {
+            SplittableRandom random = new SplittableRandom(mSeed + caller);
+            threads.add(Thread.ofVirtual().start(() -> sendUntil(total, interval, random)));
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    private void sendUntil(int total, Duration interval, SplittableRandom random) {
+        int number = mSent.getAndIncrement();
+        while (number < total) {
+            int entry = random.nextInt(mEntryNodes.size());
+            HistoryRequest request = HistoryRequest.draw(mSeed + "-" + number, random);
+            mRequests.add(request);
+            send(request, entry);
+            LockSupport.parkNanos(random.nextLong(2 * interval.toNanos()));
+            number = mSent.getAndIncrement();
+        }
+        mSent.decrementAndGet();
+    }
+
+    private void send(HistoryRequest request, int entry) {
+        long invoked = System.nanoTime();
+        Result result;
+        try {
+            HttpRequest message =
+                    HttpRequest.newBuilder(uri(entry, request.uri()))
+                            .timeout(TIMEOUT)
+                            .header(ExecutionRecord.TOKEN_HEADER, request.token())
+                            .method(
+                                    request.method(),
+                                    HttpRequest.BodyPublishers.ofByteArray(request.body()))
+                            .build();
+            result =
+                    classify(
+                            request,
+                            mClient.send(message, HttpResponse.BodyHandlers.ofByteArray()));
+        } catch (IOException broken) {
+            result = new Result.Broken(String.valueOf(broken.getMessage()));
+        } catch (InterruptedException stopped) {
+            throw new IllegalStateException("a caller was interrupted", stopped);
+        }
+        mOperations.add(
+                new HistoryOperation(
+                        request.token(),
+                        request.kind(),
+                        mEntryNames.get(entry),
+                        invoked,
+                        System.nanoTime(),
+                        result));
+    }
+
+    private URI uri(int entry, String path) {
+        return URI.create("http://127.0.0.1:" + mEntryNodes.get(entry).getPort() + path);
+    }
+
+    private static Result classify(HistoryRequest request, HttpResponse<byte[]> response) {
+        String detail = new String(response.body(), 0, Math.min(200, response.body().length));
+        return switch (outcome(response)) {
+            case "not-run" -> new Result.NotRun(detail.strip());
+            case "unknown" -> new Result.Unknown(requestId(response), detail.strip());
+            default ->
+                    response.statusCode() == STATUS_OK
+                            ? new Result.Complete(request.isOwnResponse(response.body()))
+                            : new Result.OtherStatus(response.statusCode());
+        };
+    }
+
+    private static String outcome(HttpResponse<?> response) {
+        return response.headers().firstValue(OUTCOME_HEADER).orElse("");
+    }
+
+    private static String requestId(HttpResponse<?> response) {
+        return response.headers().firstValue(REQUEST_ID_HEADER).orElse("");
+    }
+
+    /** Asks any node for the outcome of a request until it is no longer in progress. */
+    LaterOutcome ask(HistoryOperation operation, String requestId) throws InterruptedException {
+        HistoryRequest request =
+                mRequests.stream()
+                        .filter(sent -> sent.token().equals(operation.token()))
+                        .findFirst()
+                        .orElseThrow();
+        for (int ask = 0; ask < MAXIMUM_ASKS; ask++) {
+            try {
+                HttpResponse<byte[]> response = askOnce(ask % mEntryNodes.size(), requestId);
+                if (!outcome(response).equals("in-progress")) {
+                    return classifyLater(request, response);
+                }
+            } catch (IOException unreached) {
+                // Another node is asked next.
+            }
+            Thread.sleep(ASK_PAUSE);
+        }
+        return LaterOutcome.UNKNOWN;
+    }
+
+    private HttpResponse<byte[]> askOnce(int entry, String requestId)
+            throws IOException, InterruptedException {
+        HttpRequest message =
+                HttpRequest.newBuilder(uri(entry, "/.arbutuslock/requests/" + requestId))
+                        .timeout(TIMEOUT)
+                        .build();
+        return mClient.send(message, HttpResponse.BodyHandlers.ofByteArray());
+    }
+
+    private static LaterOutcome classifyLater(
+            HistoryRequest request, HttpResponse<byte[]> response) {
+        return switch (outcome(response)) {
+            case "not-run" -> LaterOutcome.NOT_RUN;
+            case "executed" -> LaterOutcome.EXECUTED;
+            case "unknown" -> LaterOutcome.UNKNOWN;
+            default ->
+                    request.isOwnResponse(response.body())
+                            ? LaterOutcome.EXECUTED
+                            : LaterOutcome.WRONG_RESPONSE;
+        };
+    }
+
+    @Override
+    public void close() {
+        mClient.shutdownNow();
+    }
+}
--- /dev/null
+++ b/testbed/src/test/java/org/arbutuslock/testbed/fault/FaultHistoryTest.java
@@ -0,0 +1,50 @@
+package org.arbutuslock.testbed.fault;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against duplicate executions, false refusals and wrong, truncated or mixed-up responses
+ * under faults. {@code FaultHistoryBench} is the long version.
+ */
+public class FaultHistoryTest {
+    private static final long SEED = Long.getLong("arbutuslock.seed", 20_261_204L);
+
+    @Test
+    public void should_know_every_outcome_when_only_connections_fail() throws Exception {
+        HistoryReport report = run(FaultKind.ofConnections(), 1_500, false);
+        assertEquals(report.violations(), List.of());
+        assertEquals(report.unknown(), 0, report.describe());
+    }
+
+    @Test
+    public void should_report_outcomes_truthfully_when_processes_fail() throws Exception {
+        HistoryReport report = run(EnumSet.allOf(FaultKind.class), 1_500, false);
+        assertEquals(report.violations(), List.of());
+    }
+
+    @Test
+    public void should_detect_orders_that_are_retried_without_asking() throws Exception {
+        Set<FaultKind> faults = EnumSet.of(FaultKind.RESET, FaultKind.CUT);
+        HistoryReport report = run(faults, 1_000, true);
+        assertTrue(
+                report.violations().stream().anyMatch(text -> text.contains("executed 2 times")),
+                report.describe());
+    }
+
+    private static HistoryReport run(Set<FaultKind> kinds, int requests, boolean planted)
+            throws Exception {
+        Duration interval = Duration.ofMillis(80);
+        HistoryReport report =
+                FaultHistory.run(
+                        new FaultHistory.Plan(SEED, kinds, requests, 16, interval, planted));
+        System.out.println(report.describe());
+        return report;
+    }
+}
