--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
@@ -180,7 +180,7 @@
                 new EndpointGuard(
                         id, mSettings, mClock, () -> ThreadLocalRandom.current().nextLong());
         mGuards.put(id, guard);
-        mHealth.add(id, mEndpoints.find(id).map(EndpointRuntime::slots).orElse(1));
+        mHealth.add(id);
         publish(guard);
     }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/HealthMonitors.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/HealthMonitors.java
@@ -52,8 +52,8 @@
         mSender = sender;
     }
 
-    void add(EndpointId id, int slots) {
-        mMonitors.put(id, new Monitor(new HealthDetector(slots, mClock), mClock.nanoTime()));
+    void add(EndpointId id) {
+        mMonitors.put(id, new Monitor(new HealthDetector(mClock), mClock.nanoTime()));
     }
 
     void remove(EndpointId id) {
@@ -68,8 +68,7 @@
                     if (monitor != null) {
                         monitor.mDetector.observe(
                                 observation.lane(),
-                                observation.latencyNanos(),
-                                observation.inFlight(),
+                                observation.serviceNanos(),
                                 observation.outcome());
                     }
                 });
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -16,6 +16,7 @@
 import org.arbutuslock.internal.admission.OfferResult;
 import org.arbutuslock.internal.admission.Rejection;
 import org.arbutuslock.internal.admission.Ticket;
+import org.arbutuslock.internal.detection.ServiceTimer;
 import org.arbutuslock.internal.selection.LoadReport;
 
 /**
@@ -29,6 +30,7 @@
     private final EventLoop mEventLoop;
     private final AdmissionController<HomeExchange> mAdmission;
     private final BackendConnectionPool mPool;
+    private final ServiceTimer mServiceTimer;
     private final ObservationListener mObservations;
     private volatile LoadReport mLoad = LoadReport.UNKNOWN;
     private volatile int mUnfinished;
@@ -58,6 +60,7 @@
         mEventLoop = eventLoop;
         mAdmission = new AdmissionController<>(clock, admission);
         mPool = new BackendConnectionPool(eventLoop, clock, address);
+        mServiceTimer = new ServiceTimer(admission.slots(), clock);
         mObservations = observations;
     }
 
@@ -151,9 +154,9 @@
         mObservations.observed(mId, observation);
     }
 
-    /** Returns the requests at the backend server. Event loop of the endpoint only. */
-    int inFlight() {
-        return mAdmission.inFlight();
+    /** Returns the timer of the backend server's work. Event loop of the endpoint only. */
+    ServiceTimer serviceTimer() {
+        return mServiceTimer;
     }
 
     private void offerNow(HomeExchange exchange) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -97,7 +97,7 @@
                     dispatch(connection);
             case Result.Failed<BackendConnection>(var failure) -> {
                 refuse(RefusalReason.CONNECT_FAILED, failure.toString());
-                mEndpoint.observe(new Observation(mLane, 0, 0, Outcome.WRONG));
+                mEndpoint.observe(new Observation(mLane, 0, Outcome.WRONG));
                 mEndpoint.finished(this, Completion.FAILED);
             }
         }
@@ -112,8 +112,7 @@
             return;
         }
         mConnection = connection;
-        RequestObservation observation =
-                new RequestObservation(mEndpoint, mClock, mLane, mEndpoint.inFlight() - 1);
+        RequestObservation observation = new RequestObservation(mEndpoint, mClock, mLane);
         mObservation = Optional.of(observation);
         checkStall();
         long remaining = Math.max(0, mRequest.deadlineNanos() - mClock.nanoTime());
@@ -246,7 +245,7 @@
             cancelUndispatched();
         } else if (mRequest.idempotent()) {
             // Says nothing about the backend server.
-            mObservation = Optional.empty();
+            mObservation.ifPresent(RequestObservation::withdraw);
             failDispatched("cancelled", Outcome.OK);
         } else {
             // Runs on, so that its outcome can be asked for later.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/Observation.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/Observation.java
@@ -7,8 +7,7 @@
  * Evidence that one request gives about the health of a backend server.
  *
  * @param lane kind of work
- * @param latencyNanos time from dispatch to the last byte or to the failure
- * @param inFlight other requests at the backend server when this one was dispatched
+ * @param serviceNanos estimated time that the backend server worked on it
  * @param outcome how it ended, or that it stalls
  */
-public record Observation(Lane lane, long latencyNanos, int inFlight, Outcome outcome) {}
+public record Observation(Lane lane, long serviceNanos, Outcome outcome) {}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/RequestObservation.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/RequestObservation.java
@@ -4,6 +4,7 @@
 import org.arbutuslock.internal.detection.HealthDetector;
 import org.arbutuslock.internal.detection.Lane;
 import org.arbutuslock.internal.detection.Outcome;
+import org.arbutuslock.internal.detection.ServiceTimer;
 
 /**
  * Follows one dispatched request and reports what it says about the health of its backend server.
@@ -13,20 +14,20 @@
     private final EndpointRuntime mEndpoint;
     private final Clock mClock;
     private final Lane mLane;
-    private final long mDispatchedNanos;
-    private final int mInFlight;
+    private final ServiceTimer mTimer;
+    private final ServiceTimer.Ticket mTicket;
     private long mProgressNanos;
-    private boolean mStalled;
+    private int mStallReports;
     private boolean mSlowedByCaller;
-    private boolean mReported;
+    private boolean mEnded;
 
-    RequestObservation(EndpointRuntime endpoint, Clock clock, Lane lane, int inFlight) {
+    RequestObservation(EndpointRuntime endpoint, Clock clock, Lane lane) {
         mEndpoint = endpoint;
         mClock = clock;
         mLane = lane;
-        mInFlight = inFlight;
-        mDispatchedNanos = clock.nanoTime();
-        mProgressNanos = mDispatchedNanos;
+        mTimer = endpoint.serviceTimer();
+        mTicket = mTimer.dispatch();
+        mProgressNanos = clock.nanoTime();
     }
 
     /** Notes that bytes of the response have arrived. */
@@ -39,38 +40,50 @@
         mSlowedByCaller = true;
     }
 
-    /** Reports a stall once. Returns the time until the next check. */
+    /** Reports a stall when it is due. Returns the time until the next check. */
     long checkStall() {
-        long waited = mClock.nanoTime() - mProgressNanos;
-        if (waited < HealthDetector.STALL_NANOS) {
-            return HealthDetector.STALL_NANOS - waited;
+        // A request that waits for its turn in the backend server does not stall.
+        long worked = mTimer.workedNanos(mTicket);
+        long silent = Math.min(worked, mClock.nanoTime() - mProgressNanos);
+        long due = HealthDetector.STALL_NANOS * (mStallReports + 1);
+        if (silent < due) {
+            return due - silent;
         }
-        if (!mStalled && !mSlowedByCaller && !mReported) {
-            mStalled = true;
-            report(Outcome.STALLED);
+        if (mayReportStall()) {
+            mStallReports++;
+            mEndpoint.observe(new Observation(mLane, 0, Outcome.STALLED));
         }
         return HealthDetector.STALL_NANOS;
     }
 
+    private boolean mayReportStall() {
+        return !mEnded && !mSlowedByCaller && mStallReports < HealthDetector.MOST_STALL_REPORTS;
+    }
+
     /** Reports the end of the request; later calls have no effect. */
     void ended(Outcome outcome) {
-        if (mReported) {
+        if (mEnded) {
             return;
         }
-        mReported = true;
+        long serviceNanos = withdraw();
         if (outcome == Outcome.OK && mSlowedByCaller) {
             return;
         }
-        // The stall has been counted; a late response takes it back, a failure would count twice.
-        if (mStalled && outcome == Outcome.OK) {
-            report(Outcome.LATE);
-        } else if (!mStalled) {
-            report(outcome);
+        // A stall has been counted; a late response takes it back, a failure would count twice.
+        boolean stalled = mStallReports > 0;
+        if (stalled && outcome == Outcome.OK) {
+            mEndpoint.observe(new Observation(mLane, serviceNanos, Outcome.LATE));
+        } else if (!stalled) {
+            mEndpoint.observe(new Observation(mLane, serviceNanos, outcome));
         }
     }
 
-    private void report(Outcome outcome) {
-        long latency = mClock.nanoTime() - mDispatchedNanos;
-        mEndpoint.observe(new Observation(mLane, latency, mInFlight, outcome));
+    /** Ends the observation of a request that says nothing about the backend server. */
+    long withdraw() {
+        if (mEnded) {
+            return 0;
+        }
+        mEnded = true;
+        return mTimer.finish(mTicket);
     }
 }
