Measure tenants, endpoints, sessions, retries and the store

Cause: a node's scrape showed requests by service only; operators could not see admission, ejection, sessions, retries or the store, and arbutuslock top had no data.

Change: the 64 most active tenants have a request counter and a latency histogram each; they are found every 2 s with a space-saving counter (Metwally, Agrawal, El Abbadi 2005), and a tenant that loses its row is added to the row (other). RequestWindows keeps rates and percentiles of the last 10 s by service, class and tenant in at most 512 rows and records without locks. Gauges and counters follow for each endpoint, sessions, retries, store calls, the configuration and unknown outcomes. docs/metrics.md lists every metric, and MetricsPageTest compares it with a running node.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -1,5 +1,6 @@
 package org.arbutuslock.daemon.internal.callers;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
 import java.util.Set;
@@ -17,6 +18,7 @@
 import org.arbutuslock.daemon.internal.home.HomeService;
 import org.arbutuslock.daemon.internal.metrics.MetricsPlugin;
 import org.arbutuslock.daemon.internal.metrics.RequestMetrics;
+import org.arbutuslock.daemon.internal.metrics.RetryMetrics;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.daemon.internal.sessions.PeerLinks;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
@@ -89,7 +91,9 @@
                         chooser,
                         fleet::current,
                         new HomeNodes(localNode, mHome, context.require(PeerLinks.class)),
-                        new ServiceRetryPolicy(mClock, configuration),
+                        new RetryMetrics(
+                                new ServiceRetryPolicy(mClock, configuration),
+                                context.require(MeterRegistry.class)),
                         context.require(RequestMetrics.class));
         NodeSettings.Callers callers = settings.callers();
         CallerLimits limits =
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLongArray;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.WorkClass;
@@ -14,6 +15,7 @@
 import org.arbutuslock.internal.admission.OfferResult;
 import org.arbutuslock.internal.admission.Rejection;
 import org.arbutuslock.internal.admission.Ticket;
+import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.selection.LoadReport;
 
 /**
@@ -28,6 +30,7 @@
     private final AdmissionController<HomeExchange> mAdmission;
     private final BackendConnectionPool mPool;
     private final ObservationListener mObservations;
+    private final AtomicLongArray mRefusals = new AtomicLongArray(RefusalReason.values().length);
     private volatile LoadReport mLoad = LoadReport.UNKNOWN;
     private volatile int mUnfinished;
     private boolean mPolling;
@@ -103,6 +106,20 @@
         return mUnfinished;
     }
 
+    /**
+     * Counts the requests that were refused. Any thread.
+     *
+     * @param reason why
+     * @return refusals since the endpoint was announced
+     */
+    public long refusals(RefusalReason reason) {
+        return mRefusals.get(reason.ordinal());
+    }
+
+    void countRefusal(RefusalReason reason) {
+        mRefusals.incrementAndGet(reason.ordinal());
+    }
+
     /** Offers a request to admission. Any thread. */
     void offer(HomeExchange exchange) {
         execute(() -> offerNow(exchange));
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -80,6 +80,7 @@
     void refuse(RefusalReason reason, String detail) {
         mDone = true;
         if (mRecord.refuse(reason)) {
+            mEndpoint.countRefusal(reason);
             emit(new ResponseEvent.Refused(reason, detail, mEndpoint.load()));
         }
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
@@ -157,6 +157,7 @@
         return switch (mLedger.admit(session, request.id())) {
             case AdmitResult.Admitted(ExecutionRecord record) -> start(request, record, listener);
             case AdmitResult.LedgerFull full -> {
+                countRefusal(request, RefusalReason.LEDGER_FULL);
                 listener.handle(refusal(RefusalReason.LEDGER_FULL, "too many recent requests"));
                 yield FINISHED;
             }
@@ -170,32 +171,42 @@
             ExecutionRequest request, ExecutionRecord record, ResponseListener listener) {
         EndpointRuntime endpoint = mEndpoints.get().get(request.endpoint());
         if (mDraining) {
-            return refuse(record, listener, RefusalReason.DRAINING, "the node is shutting down");
+            return refuse(
+                    request, record, listener, RefusalReason.DRAINING, "the node is shutting down");
         }
         if (endpoint == null) {
             String detail = request.endpoint() + " is not announced at this node";
-            return refuse(record, listener, RefusalReason.UNKNOWN_ENDPOINT, detail);
+            return refuse(request, record, listener, RefusalReason.UNKNOWN_ENDPOINT, detail);
         }
         if (!mStates.takes(request.endpoint(), request.idempotent())) {
             String detail = request.endpoint() + " is not in service";
-            return refuse(record, listener, RefusalReason.NOT_IN_SERVICE, detail);
+            return refuse(request, record, listener, RefusalReason.NOT_IN_SERVICE, detail);
         }
         HomeExchange exchange = new HomeExchange(endpoint, mClock, request, record, listener);
         endpoint.offer(exchange);
         return exchange;
     }
 
-    private static Exchange refuse(
+    private Exchange refuse(
+            ExecutionRequest request,
             ExecutionRecord record,
             ResponseListener listener,
             RefusalReason reason,
             String detail) {
         if (record.refuse(reason)) {
+            countRefusal(request, reason);
             listener.handle(refusal(reason, detail));
         }
         return FINISHED;
     }
 
+    private void countRefusal(ExecutionRequest request, RefusalReason reason) {
+        EndpointRuntime endpoint = mEndpoints.get().get(request.endpoint());
+        if (endpoint != null) {
+            endpoint.countRefusal(reason);
+        }
+    }
+
     private static Exchange unknown(ResponseListener listener, String detail) {
         listener.handle(new ResponseEvent.OutcomeUnknown(detail, LoadReport.UNKNOWN));
         return FINISHED;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/MetricsPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/MetricsPlugin.java
@@ -1,6 +1,5 @@
 package org.arbutuslock.daemon.internal.metrics;
 
-import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -8,12 +7,22 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import java.util.List;
 import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.Plugin;
 import org.arbutuslock.api.PluginContext;
 import org.arbutuslock.api.PluginException;
 import org.arbutuslock.daemon.internal.configuration.ConfigurationPlugin;
+import org.arbutuslock.daemon.internal.home.HomePlugin;
+import org.arbutuslock.daemon.internal.home.LocalEndpoints;
 import org.arbutuslock.daemon.internal.http.SmallHttpServer;
+import org.arbutuslock.daemon.internal.sessions.SessionCounts;
+import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
+import org.arbutuslock.daemon.internal.store.MonitoredStore;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.settings.NodeSettings;
 
@@ -29,6 +38,7 @@
     private PrometheusMeterRegistry mRegistry;
     private ConfigurationHolder mConfiguration;
     private SmallHttpServer mServer;
+    private ScheduledExecutorService mRefresh;
     private volatile boolean mDraining;
 
     /** Creates the plug-in; called by the service loader. */
@@ -41,7 +51,7 @@
 
     @Override
     public Set<String> requires() {
-        return Set.of(ConfigurationPlugin.NAME);
+        return Set.of(ConfigurationPlugin.NAME, HomePlugin.NAME, SessionsPlugin.NAME);
     }
 
     @Override
@@ -49,20 +59,44 @@
         mRegistry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         mConfiguration = context.require(ConfigurationHolder.class);
         new JvmMemoryMetrics().bindTo(mRegistry);
-        Gauge.builder(
-                        "arbutuslock.configuration.revision",
-                        mConfiguration,
-                        holder -> holder.current().revision())
-                .description("revision of the configuration in force")
-                .register(mRegistry);
         mServer =
                 new SmallHttpServer(
                         context.require(EventLoopGroup.class),
                         context.require(NodeSettings.class).metrics().address(),
                         "metrics",
                         this::answer);
+        RequestWindows windows = new RequestWindows(context.require(Clock.class));
+        RequestMetrics requests = new RequestMetrics(mRegistry, windows);
         context.provide(MeterRegistry.class, mRegistry);
-        context.provide(RequestMetrics.class, new RequestMetrics(mRegistry));
+        context.provide(RequestMetrics.class, requests);
+        context.provide(RequestWindows.class, windows);
+        startRefreshing(context, windows, requests);
+    }
+
+    private void startRefreshing(
+            PluginContext context, RequestWindows windows, RequestMetrics requests)
+            throws PluginException {
+        EndpointMetrics endpoints =
+                new EndpointMetrics(mRegistry, context.require(LocalEndpoints.class));
+        NodeMetrics node =
+                new NodeMetrics(
+                        mRegistry,
+                        context.require(Clock.class),
+                        mConfiguration,
+                        context.require(MonitoredStore.class),
+                        context.require(SessionCounts.class));
+        mRefresh =
+                Executors.newSingleThreadScheduledExecutor(
+                        Thread.ofPlatform().daemon().name("metrics").factory());
+        long interval = RequestWindows.INTERVAL.toMillis();
+        for (Runnable task :
+                List.<Runnable>of(
+                        windows::rotate,
+                        requests::listActiveTenants,
+                        endpoints::refresh,
+                        node::refresh)) {
+            mRefresh.scheduleAtFixedRate(task, interval, interval, TimeUnit.MILLISECONDS);
+        }
     }
 
     private FullHttpResponse answer(FullHttpRequest request) {
@@ -96,6 +130,7 @@
 
     @Override
     public void stop() {
+        mRefresh.shutdownNow();
         mServer.close();
         mRegistry.close();
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/RequestMetrics.java
@@ -1,5 +1,6 @@
 package org.arbutuslock.daemon.internal.metrics;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
@@ -9,21 +10,32 @@
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.daemon.internal.callers.RequestObserver;
 
-/** Histograms of callers' requests for each service, class and result. */
+/** Measures callers' requests by service, class, result and tenant. */
 public final class RequestMetrics implements RequestObserver {
     private static final Duration SHORTEST = Duration.ofMillis(1);
     private static final Duration LONGEST = Duration.ofSeconds(60);
 
     private final MeterRegistry mRegistry;
+    private final RequestWindows mWindows;
+    private final TenantMetrics mTenants;
+    private final TenantActivity mActivity = new TenantActivity();
+    private final Counter mUnknown;
     private final ConcurrentHashMap<Key, Timer> mTimers = new ConcurrentHashMap<>();
 
     /**
      * Creates metrics without observations.
      *
      * @param registry gets the histograms
+     * @param windows gets the requests of the last seconds
      */
-    public RequestMetrics(MeterRegistry registry) {
+    public RequestMetrics(MeterRegistry registry, RequestWindows windows) {
         mRegistry = registry;
+        mWindows = windows;
+        mTenants = new TenantMetrics(registry);
+        mUnknown =
+                Counter.builder("arbutuslock.outcomes.unknown")
+                        .description("requests whose caller was told that the outcome is unknown")
+                        .register(registry);
     }
 
     @Override
@@ -31,6 +43,29 @@
             RouteDefinition route, String tenant, Duration latency, RequestResult result) {
         Key key = new Key(route.service(), route.workClass(), result);
         mTimers.computeIfAbsent(key, this::createTimer).record(latency);
+        String row = "";
+        if (TenantActivity.isName(tenant)) {
+            mActivity.record(tenant);
+            row = mTenants.listed().contains(tenant) ? tenant : "";
+        }
+        mTenants.record(row, latency);
+        mWindows.record(route.service(), route.workClass(), row, latency, isFailure(result));
+        if (result == RequestResult.UNKNOWN) {
+            mUnknown.increment();
+        }
+    }
+
+    private static boolean isFailure(RequestResult result) {
+        return switch (result) {
+            case ANSWERED, CANCELLED -> false;
+            case NOT_RUN, UNKNOWN, ABORTED -> true;
+        };
+    }
+
+    /** Lists the tenants that are most active now. Called by one thread at a time. */
+    void listActiveTenants() {
+        mTenants.list(mActivity.selectMostActive(mTenants.listed(), TenantMetrics.MAXIMUM_TENANTS));
+        mActivity.halve();
     }
 
     private Timer createTimer(Key key) {
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/RetryMetrics.java
@@ -0,0 +1,52 @@
+package org.arbutuslock.daemon.internal.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.concurrent.ConcurrentHashMap;
+import org.arbutuslock.daemon.internal.callers.RetryPolicy;
+
+/** Counts what a retry policy grants and denies for each service. */
+public final class RetryMetrics implements RetryPolicy {
+    private final RetryPolicy mPolicy;
+    private final MeterRegistry mRegistry;
+    private final ConcurrentHashMap<String, Counters> mCounters = new ConcurrentHashMap<>();
+
+    private record Counters(Counter granted, Counter denied) {}
+
+    /**
+     * Creates counters for a policy.
+     *
+     * @param policy decides
+     * @param registry gets the counters
+     */
+    public RetryMetrics(RetryPolicy policy, MeterRegistry registry) {
+        mPolicy = policy;
+        mRegistry = registry;
+    }
+
+    @Override
+    public void firstAttempt(String service) {
+        mCounters.computeIfAbsent(service, this::createCounters);
+        mPolicy.firstAttempt(service);
+    }
+
+    @Override
+    public boolean allowRetry(String service) {
+        boolean allowed = mPolicy.allowRetry(service);
+        Counters counters = mCounters.computeIfAbsent(service, this::createCounters);
+        (allowed ? counters.granted() : counters.denied()).increment();
+        return allowed;
+    }
+
+    private Counters createCounters(String service) {
+        return new Counters(create(service, "granted"), create(service, "denied"));
+    }
+
+    private Counter create(String service, String result) {
+        return Counter.builder("arbutuslock.retries")
+                .description("retries after an overload that the budget of the service decided on")
+                .tag("service", service)
+                .tag("result", result)
+                .register(mRegistry);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/TenantActivity.java
@@ -0,0 +1,93 @@
+package org.arbutuslock.daemon.internal.metrics;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.locks.ReentrantLock;
+import org.arbutuslock.internal.metrics.SpaceSavingCounter;
+
+/** Finds the most active tenants of this node; counted in stripes by thread. */
+final class TenantActivity {
+    private static final int STRIPES = 16;
+    private static final int COUNTERS_PER_STRIPE = 256;
+    private static final int MAXIMUM_NAME_CHARACTERS = 63;
+
+    /** Keeps tenants of about the same activity from replacing each other all the time. */
+    private static final double ADVANTAGE_OF_LISTED = 1.25;
+
+    private final List<Stripe> mStripes = new ArrayList<>();
+
+    private static final class Stripe {
+        private final ReentrantLock mLock = new ReentrantLock();
+        private final SpaceSavingCounter mCounter = new SpaceSavingCounter(COUNTERS_PER_STRIPE);
+    }
+
+    TenantActivity() {
+        for (int index = 0; index < STRIPES; index++) {
+            mStripes.add(new Stripe());
+        }
+    }
+
+    /** The name comes from a request's header and can be anything. */
+    static boolean isName(String tenant) {
+        if (tenant.isEmpty() || tenant.length() > MAXIMUM_NAME_CHARACTERS) {
+            return false;
+        }
+        for (int index = 0; index < tenant.length(); index++) {
+            char character = tenant.charAt(index);
+            boolean letter =
+                    character >= 'a' && character <= 'z' || character >= 'A' && character <= 'Z';
+            boolean digit = character >= '0' && character <= '9';
+            if (!letter && !digit && character != '-') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Counts a request, or skips it when another thread uses the stripe at this moment. */
+    void record(String tenant) {
+        Stripe stripe = mStripes.get((int) (Thread.currentThread().threadId() % STRIPES));
+        if (stripe.mLock.tryLock()) {
+            try {
+                stripe.mCounter.offer(tenant);
+            } finally {
+                stripe.mLock.unlock();
+            }
+        }
+    }
+
+    /** Returns the most active tenants; those already listed stay when others are about equal. */
+    Set<String> selectMostActive(Set<String> listed, int limit) {
+        Map<String, Double> scores = new HashMap<>();
+        for (Stripe stripe : mStripes) {
+            stripe.mLock.lock();
+            try {
+                stripe.mCounter.forEach(
+                        (tenant, count) -> scores.merge(tenant, (double) count, Double::sum));
+            } finally {
+                stripe.mLock.unlock();
+            }
+        }
+        listed.forEach(
+                tenant -> scores.computeIfPresent(tenant, (key, s) -> s * ADVANTAGE_OF_LISTED));
+        List<String> ranked = new ArrayList<>(scores.keySet());
+        ranked.sort((first, second) -> Double.compare(scores.get(second), scores.get(first)));
+        return new HashSet<>(ranked.subList(0, Math.min(limit, ranked.size())));
+    }
+
+    /** Lets earlier requests weigh half as much. */
+    void halve() {
+        for (Stripe stripe : mStripes) {
+            stripe.mLock.lock();
+            try {
+                stripe.mCounter.halve();
+            } finally {
+                stripe.mLock.unlock();
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/NodeOperatorsBackend.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/NodeOperatorsBackend.java
@@ -18,16 +18,19 @@
     private final ConfigurationQueries mConfiguration;
     private final FleetQueries mFleet;
     private final EndpointCommands mEndpoints;
+    private final TopQueries mTop;
 
     NodeOperatorsBackend(
             ChangeCommands changes,
             ConfigurationQueries configuration,
             FleetQueries fleet,
-            EndpointCommands endpoints) {
+            EndpointCommands endpoints,
+            TopQueries top) {
         mChanges = changes;
         mConfiguration = configuration;
         mFleet = fleet;
         mEndpoints = endpoints;
+        mTop = top;
     }
 
     @Override
@@ -88,7 +91,6 @@
 
     @Override
     public Result<TopResponse> readTop(String service, int limit) {
-        return Result.failed(
-                "read request rates", "this node", "it does not measure them by tenant");
+        return mTop.read(service, limit);
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OperatorsPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OperatorsPlugin.java
@@ -18,6 +18,8 @@
 import org.arbutuslock.daemon.internal.fleet.FleetPlugin;
 import org.arbutuslock.daemon.internal.home.HomePlugin;
 import org.arbutuslock.daemon.internal.home.LocalEndpoints;
+import org.arbutuslock.daemon.internal.metrics.MetricsPlugin;
+import org.arbutuslock.daemon.internal.metrics.RequestWindows;
 import org.arbutuslock.daemon.internal.sessions.ChannelMessages;
 import org.arbutuslock.daemon.internal.sessions.PeerLinks;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
@@ -52,7 +54,8 @@
                 SessionsPlugin.NAME,
                 HomePlugin.NAME,
                 FleetPlugin.NAME,
-                EjectionPlugin.NAME);
+                EjectionPlugin.NAME,
+                MetricsPlugin.NAME);
     }
 
     @Override
@@ -94,7 +97,8 @@
                 new ConfigurationQueries(log, holder, settings.nodeName()),
                 new FleetQueries(
                         settings, fleet::current, holder, context.require(MonitoredStore.class)),
-                new EndpointCommands(settings.nodeName(), fleet::current, home, peers));
+                new EndpointCommands(settings.nodeName(), fleet::current, home, peers),
+                new TopQueries(settings.nodeName(), context.require(RequestWindows.class)));
     }
 
     @Override
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -39,10 +39,11 @@
     ClientSession(
             LocalNode localNode,
             Clock clock,
+            SessionCounts counts,
             String peerAddress,
             ChannelMessages channelMessages,
             Runnable onSuspected) {
-        super(clock);
+        super(clock, counts);
         mLocalNode = localNode;
         mClock = clock;
         mPeerAddress = peerAddress;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
@@ -21,6 +21,7 @@
     private static final EventLogger LOGGER = EventLogger.forComponent("sessions");
 
     private final Clock mClock;
+    private final SessionCounts mCounts;
     private volatile Channel mChannel;
     private BodyScheduler mBodies;
     private Heartbeats mHeartbeats;
@@ -28,8 +29,9 @@
     private long mHeartbeatNumber;
     private String mCloseReason = "closed by the other side";
 
-    PeerChannel(Clock clock) {
+    PeerChannel(Clock clock, SessionCounts counts) {
         mClock = clock;
+        mCounts = counts;
     }
 
     /** Adds framing and this handler to a new channel. */
@@ -111,6 +113,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mChannel = context.channel();
+        mCounts.addOpen();
         mBodies = new BodyScheduler(mChannel);
         mHeartbeats = new Heartbeats(mClock.nanoTime());
         long tick = Heartbeats.TICK.toMillis();
@@ -128,6 +131,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         if (mTicks != null) {
             mTicks.cancel(false);
+            mCounts.removeOpen();
         }
         LOGGER.log(Event.SESSION_CLOSED, peerName(), mCloseReason);
         closed(mCloseReason);
@@ -163,7 +167,10 @@
             case NOTHING -> {}
             case SEND_HEARTBEAT -> send(new PeerMessage.Heartbeat(mHeartbeatNumber++));
             case OPEN_REPLACEMENT -> suspected();
-            case GIVE_UP -> close("no reply to a heartbeat");
+            case GIVE_UP -> {
+                mCounts.addSilent();
+                close("no reply to a heartbeat");
+            }
         }
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLink.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLink.java
@@ -31,6 +31,7 @@
     private final EventLoopGroup mEventLoops;
     private final LocalNode mLocalNode;
     private final Clock mClock;
+    private final SessionCounts mCounts;
     private final String mPeerAddress;
     private final ChannelMessages mChannelMessages;
     private final AtomicReference<CompletableFuture<ClientSession>> mCurrent =
@@ -43,11 +44,13 @@
             EventLoopGroup eventLoops,
             LocalNode localNode,
             Clock clock,
+            SessionCounts counts,
             String peerAddress,
             ChannelMessages channelMessages) {
         mEventLoops = eventLoops;
         mLocalNode = localNode;
         mClock = clock;
+        mCounts = counts;
         mPeerAddress = peerAddress;
         mChannelMessages = channelMessages;
     }
@@ -88,7 +91,12 @@
     private void open(CompletableFuture<ClientSession> opening) {
         ClientSession session =
                 new ClientSession(
-                        mLocalNode, mClock, mPeerAddress, mChannelMessages, () -> replace(opening));
+                        mLocalNode,
+                        mClock,
+                        mCounts,
+                        mPeerAddress,
+                        mChannelMessages,
+                        () -> replace(opening));
         session.ready()
                 .orTimeout(HELLO_TIMEOUT_MILLIS + CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .whenComplete((ready, error) -> finishOpening(opening, session, error));
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLinks.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerLinks.java
@@ -29,6 +29,7 @@
     private final EventLoopGroup mEventLoops;
     private final LocalNode mLocalNode;
     private final Clock mClock;
+    private final SessionCounts mCounts;
     private final ChannelMessages mChannelMessages;
     private final ConcurrentHashMap<String, PeerLink> mLinks = new ConcurrentHashMap<>();
 
@@ -38,16 +39,19 @@
      * @param eventLoops event loops of the connections
      * @param localNode identity of this node
      * @param clock time of heartbeats and pauses
+     * @param counts counts the sessions
      * @param channelMessages receivers of messages of plug-ins
      */
     public PeerLinks(
             EventLoopGroup eventLoops,
             LocalNode localNode,
             Clock clock,
+            SessionCounts counts,
             ChannelMessages channelMessages) {
         mEventLoops = eventLoops;
         mLocalNode = localNode;
         mClock = clock;
+        mCounts = counts;
         mChannelMessages = channelMessages;
     }
 
@@ -166,7 +170,13 @@
         return mLinks.computeIfAbsent(
                 peerAddress,
                 address ->
-                        new PeerLink(mEventLoops, mLocalNode, mClock, address, mChannelMessages));
+                        new PeerLink(
+                                mEventLoops,
+                                mLocalNode,
+                                mClock,
+                                mCounts,
+                                address,
+                                mChannelMessages));
     }
 
     private static ResponseEvent connectFailed(String peerAddress, String reason) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
@@ -24,6 +24,7 @@
      * @param address IP address and port
      * @param localNode identity of this node
      * @param clock time of heartbeats
+     * @param counts counts the sessions
      * @param homeNode executes the requests
      * @param channelMessages receivers of messages of plug-ins
      */
@@ -32,6 +33,7 @@
             InetSocketAddress address,
             LocalNode localNode,
             Clock clock,
+            SessionCounts counts,
             HomeNode homeNode,
             ChannelMessages channelMessages) {
         mListener =
@@ -48,7 +50,11 @@
                                     protected void initChannel(Channel channel) {
                                         mSessions.add(channel);
                                         new ServerSession(
-                                                        localNode, clock, homeNode, channelMessages)
+                                                        localNode,
+                                                        clock,
+                                                        counts,
+                                                        homeNode,
+                                                        channelMessages)
                                                 .install(channel);
                                     }
                                 })
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -31,8 +31,12 @@
     private long mLastStream;
 
     ServerSession(
-            LocalNode localNode, Clock clock, HomeNode homeNode, ChannelMessages channelMessages) {
-        super(clock);
+            LocalNode localNode,
+            Clock clock,
+            SessionCounts counts,
+            HomeNode homeNode,
+            ChannelMessages channelMessages) {
+        super(clock, counts);
         mLocalNode = localNode;
         mClock = clock;
         mHomeNode = homeNode;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/SessionsPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/SessionsPlugin.java
@@ -36,15 +36,18 @@
         LocalNode localNode = context.require(LocalNode.class);
         Clock clock = context.require(Clock.class);
         ChannelMessages messages = new ChannelMessages();
-        mLinks = new PeerLinks(eventLoops, localNode, clock, messages);
+        SessionCounts counts = new SessionCounts();
+        mLinks = new PeerLinks(eventLoops, localNode, clock, counts, messages);
         mServer =
                 new PeerServer(
                         eventLoops,
                         context.require(NodeSettings.class).peers().address(),
                         localNode,
                         clock,
+                        counts,
                         context.require(HomeNode.class),
                         messages);
+        context.provide(SessionCounts.class, counts);
         context.provide(ChannelMessages.class, messages);
         context.provide(PeerLinks.class, mLinks);
     }
