Add GossipBench: cost of membership for each node

Cause: the figures of design section 7 were estimates.

Change: GossipBench runs real protocol objects in one process, messages handed over directly, and extrapolates to 8,500 nodes.

Processor time is that of protocol and codec, not of sockets; traffic does not include the sessions' own heartbeats.

--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/GossipBench.java
@@ -0,0 +1,99 @@
+package org.arbutuslock.testbed.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.arbutuslock.internal.messages.MessageFormatException;
+
+/**
+ * Measures the cost of membership for each node and extrapolates it to the design size. Exits 1
+ * when a figure exceeds its bound, 2 on wrong options.
+ */
+public final class GossipBench {
+    private static final int EXIT_BOUND_EXCEEDED = 1;
+    private static final int EXIT_USAGE = 2;
+    private static final int[] NODES = {100, 300, 1_000};
+    private static final int[] ENDPOINTS = {100, 1_000, 10_000, 120_000};
+    private static final double CHANGES_PER_SECOND = 0.5;
+    private static final double RESTARTS_PER_SECOND = 0.2;
+    private static final int WARM_UP_ENDPOINTS = 1_000;
+
+    private GossipBench() {}
+
+    /**
+     * Measures and prints the figures.
+     *
+     * @param arguments options; {@code --help} lists them
+     * @throws MessageFormatException when an own message cannot be read back, which is a fault
+     * @throws JsonProcessingException when the report cannot be written, which is a fault
+     */
+    public static void main(String[] arguments)
+            throws MessageFormatException, JsonProcessingException {
+        ArgumentParser parser = createParser();
+        Namespace options;
+        try {
+            options = parser.parseArgs(arguments);
+        } catch (ArgumentParserException wrong) {
+            parser.handleError(wrong);
+            System.exit(EXIT_USAGE);
+            return;
+        }
+        GossipReport report = measure(options.getLong("seed"), options.getInt("seconds"));
+        System.out.print(
+                options.getString("format").equals("json") ? toJson(report) : report.toText());
+        System.exit(report.isWithinBounds() ? 0 : EXIT_BOUND_EXCEEDED);
+    }
+
+    private static ArgumentParser createParser() {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("arbutuslock-gossip-bench")
+                        .build()
+                        .description("Measures the cost of membership for each node.");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed");
+        parser.addArgument("--seconds")
+                .type(Integer.class)
+                .choices(Arguments.range(1, 3_600))
+                .setDefault(60)
+                .help("simulated time of each measurement of traffic");
+        parser.addArgument("--format").choices("text", "json").setDefault("text").help("output");
+        return parser;
+    }
+
+    private static GossipReport measure(long seed, int seconds) throws MessageFormatException {
+        MemoryMeasure memory = new MemoryMeasure(seed);
+        memory.measure(WARM_UP_ENDPOINTS);
+        List<MemoryMeasure.Result> byEndpoints = new ArrayList<>();
+        for (int endpoints : ENDPOINTS) {
+            byEndpoints.add(memory.measure(endpoints));
+        }
+        TrafficMeasure traffic = new TrafficMeasure(seed, Duration.ofSeconds(seconds));
+        traffic.measure(NODES[0], CHANGES_PER_SECOND, RESTARTS_PER_SECOND);
+        List<TrafficMeasure.Result> steady = new ArrayList<>();
+        List<TrafficMeasure.Result> changing = new ArrayList<>();
+        for (int nodes : NODES) {
+            steady.add(traffic.measure(nodes, 0, 0));
+            changing.add(traffic.measure(nodes, CHANGES_PER_SECOND, RESTARTS_PER_SECOND));
+        }
+        return new GossipReport(seed, seconds, steady, changing, byEndpoints);
+    }
+
+    private static String toJson(GossipReport report) throws JsonProcessingException {
+        return new ObjectMapper()
+                        .enable(SerializationFeature.INDENT_OUTPUT)
+                        .writeValueAsString(
+                                Map.of(
+                                        "report", report,
+                                        "checks", report.checks(),
+                                        "withinBounds", report.isWithinBounds()))
+                + "\n";
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/SyntheticFleet.java
@@ -0,0 +1,101 @@
+package org.arbutuslock.testbed.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.internal.ejection.EndpointState;
+import org.arbutuslock.internal.membership.EndpointRecord;
+import org.arbutuslock.internal.membership.GossipMessage;
+import org.arbutuslock.internal.membership.GossipMessageCodec;
+import org.arbutuslock.internal.membership.NodeRecord;
+import org.arbutuslock.internal.membership.Statement;
+
+/** Makes records of a fleet with the proportions of the design. */
+final class SyntheticFleet {
+    /** Nodes that the design is for. */
+    static final int DESIGN_NODES = 8_500;
+
+    /** Endpoints that the design is for. */
+    static final int DESIGN_ENDPOINTS = 120_000;
+
+    /** Endpoints of one node. */
+    static final int ENDPOINTS_PER_NODE = 14;
+
+    private static final int REGIONS = 10;
+    private static final int ZONES_PER_REGION = 2;
+    private static final int ENDPOINTS_PER_SERVICE = 21;
+    private static final int SLOTS = 5;
+    private static final int WHOLE_PERCENT = 100;
+    private static final int RECORDS_PER_MESSAGE = 60;
+
+    private SyntheticFleet() {}
+
+    /** Names a node. */
+    static String nodeName(int number) {
+        return "region-" + regionOf(number) + "-" + zoneOf(number) + "-node-" + number;
+    }
+
+    /** Makes the first record of a node. */
+    static NodeRecord record(int number, long incarnation, List<EndpointRecord> endpoints) {
+        return new NodeRecord(
+                nodeName(number),
+                incarnation,
+                0,
+                "10." + number / 65_536 + "." + number / 256 % 256 + "." + number % 256 + ":7000",
+                "region-" + regionOf(number),
+                "region-" + regionOf(number) + "-" + zoneOf(number),
+                0,
+                false,
+                endpoints);
+    }
+
+    /** Makes the endpoints of a node in services drawn by a seed. */
+    static List<EndpointRecord> endpoints(int number, int count, int fleetEndpoints, long seed) {
+        SplittableRandom random = new SplittableRandom(seed + number);
+        int services = Math.max(1, fleetEndpoints / ENDPOINTS_PER_SERVICE);
+        List<EndpointRecord> endpoints = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            EndpointId id =
+                    new EndpointId(
+                            "service-" + random.nextInt(services),
+                            "server-" + number + "-" + index);
+            endpoints.add(new EndpointRecord(id, SLOTS, EndpointState.IN_SERVICE, WHOLE_PERCENT));
+        }
+        return endpoints;
+    }
+
+    /** Makes the records of a whole fleet. */
+    static List<NodeRecord> records(int endpoints, long seed) {
+        List<NodeRecord> records = new ArrayList<>();
+        for (int number = 0, left = endpoints; left > 0; number++) {
+            int count = Math.min(ENDPOINTS_PER_NODE, left);
+            records.add(record(number, 1, endpoints(number, count, endpoints, seed)));
+            left -= count;
+        }
+        return records;
+    }
+
+    /** Encodes records as the messages that repair a joining node. */
+    static List<byte[]> repairs(List<NodeRecord> records) {
+        List<byte[]> messages = new ArrayList<>();
+        GossipMessage.Sender sender = new GossipMessage.Sender("joining-peer", "10.255.0.1:7000");
+        for (int start = 0; start < records.size(); start += RECORDS_PER_MESSAGE) {
+            int end = Math.min(records.size(), start + RECORDS_PER_MESSAGE);
+            List<Statement> statements = new ArrayList<>();
+            records.subList(start, end)
+                    .forEach(record -> statements.add(new Statement.Present(record)));
+            messages.add(
+                    GossipMessageCodec.encode(new GossipMessage.Delta(sender, true, statements)));
+        }
+        return messages;
+    }
+
+    private static int regionOf(int number) {
+        return number % REGIONS;
+    }
+
+    private static String zoneOf(int number) {
+        return number / REGIONS % ZONES_PER_REGION == 0 ? "a" : "b";
+    }
+}
