--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/DuplicateFrameTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/DuplicateFrameTest.java
@@ -33,7 +33,9 @@
     public void should_drop_a_duplicated_part_of_a_request_body() {
         RecordingHome home = new RecordingHome();
         EmbeddedChannel channel = new EmbeddedChannel();
-        new ServerSession(LOCAL, new ManualClock(), home, new ChannelMessages()).install(channel);
+        new ServerSession(
+                        LOCAL, new ManualClock(), new SessionCounts(), home, new ChannelMessages())
+                .install(channel);
         channel.pipeline().fireChannelActive();
         PeerMessage hello = new PeerMessage.Hello(1, 1, "b", 1, "west", "calgary");
         receive(channel, hello);
@@ -53,7 +55,12 @@
         EmbeddedChannel channel = new EmbeddedChannel();
         ClientSession session =
                 new ClientSession(
-                        LOCAL, new ManualClock(), "127.0.0.1:2", new ChannelMessages(), () -> {});
+                        LOCAL,
+                        new ManualClock(),
+                        new SessionCounts(),
+                        "127.0.0.1:2",
+                        new ChannelMessages(),
+                        () -> {});
         session.install(channel);
         channel.pipeline().fireChannelActive();
         receive(channel, new PeerMessage.HelloReply(1, "b", 1, 1, "west", "calgary"));
