Complete the drain of the stand-in server after its port is free

Cause: BackendServer.drain completed without waiting for its listener to close, and the selector frees a closed port only in its next round. BackendServerTest.should_announce_itself_and_finish_its_work_when_it_departs failed in one of five runs of the suite with "Expected IOException to be thrown, but nothing was thrown".

Change: the drain completes after the listener has closed and after one more round of its event loop.

--- a/testbed/src/main/java/org/arbutuslock/testbed/backend/BackendServer.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/backend/BackendServer.java
@@ -147,8 +147,13 @@
         long lastBusyNanos = idle ? busyNanos : now;
         if (now - lastBusyNanos >= quiet.toNanos() || now - limitNanos >= 0) {
             mAnnouncer.ifPresent(Announcer::close);
-            mListener.close();
-            mConnections.close().addListener(done -> drained.complete(idle));
+            mListener
+                    .close()
+                    .addListener(
+                            closed ->
+                                    mConnections
+                                            .close()
+                                            .addListener(done -> completeDrain(drained, idle)));
             return;
         }
         mLoop.schedule(
@@ -157,6 +162,16 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * The selector frees the port in its next round, which precedes a task that is scheduled for
+     * later on the same event loop.
+     */
+    private void completeDrain(CompletableFuture<Boolean> drained, boolean idle) {
+        mListener
+                .eventLoop()
+                .schedule(() -> drained.complete(idle), DRAIN_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private Channel listen(int port) {
         BackendControl control = new BackendControl(mState);
         return new ServerBootstrap()
