Close sessions that nobody uses for 30 s

Cause: gossip contacts random nodes, and a session was kept to each node ever contacted; at 8,500 nodes idle heartbeats alone (one of about 80 bytes each way every 10 s per session) would be 136 KB/s against 14 KB/s (computed). Change: the connecting end closes a session that carried no request, query or message for 30 s; heartbeats do not count as use.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -196,6 +196,11 @@
         return !mStreams.isEmpty() || !mQueries.isEmpty() || mRemote == null;
     }
 
+    @Override
+    boolean closesWhenIdle() {
+        return true;
+    }
+
     @Override
     void suspected() {
         mOnSuspected.run();
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.time.Duration;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.arbutuslock.api.Clock;
@@ -18,6 +19,10 @@
 abstract class PeerChannel extends SimpleChannelInboundHandler<PeerMessage> {
     static final int PROTOCOL_VERSION = 1;
 
+    // Gossip contacts random nodes; sessions that stay open for good would grow to the size of the
+    // fleet, and their heartbeats past the control bandwidth of a node.
+    private static final long IDLE_LIMIT_NANOS = Duration.ofSeconds(30).toNanos();
+
     private static final EventLogger LOGGER = EventLogger.forComponent("sessions");
 
     private final Clock mClock;
@@ -27,6 +32,7 @@
     private Heartbeats mHeartbeats;
     private Future<?> mTicks;
     private long mHeartbeatNumber;
+    private long mLastUsedNanos;
     private String mCloseReason = "closed by the other side";
 
     PeerChannel(Clock clock, SessionCounts counts) {
@@ -58,6 +64,9 @@
     /** Tells whether requests are in progress. Called on the event loop. */
     abstract boolean isBusy();
 
+    /** Tells whether this end closes the session when nobody uses it. */
+    abstract boolean closesWhenIdle();
+
     /** Handles a late heartbeat reply, on the event loop. */
     abstract void suspected();
 
@@ -84,6 +93,10 @@
     }
 
     private void sendNow(PeerMessage message) {
+        if (!(message instanceof PeerMessage.Heartbeat)
+                && !(message instanceof PeerMessage.HeartbeatReply)) {
+            mLastUsedNanos = mClock.nanoTime();
+        }
         switch (message) {
             case PeerMessage.ResponseBody part -> mBodies.add(part);
             case PeerMessage.OutcomeUnknown unknown -> {
@@ -121,6 +134,7 @@
         mCounts.addOpen();
         mBodies = new BodyScheduler(mChannel);
         mHeartbeats = new Heartbeats(mClock.nanoTime());
+        mLastUsedNanos = mClock.nanoTime();
         long tick = Heartbeats.TICK.toMillis();
         mTicks =
                 mChannel.eventLoop()
@@ -155,7 +169,10 @@
         switch (message) {
             case PeerMessage.Heartbeat(long number) -> send(new PeerMessage.HeartbeatReply(number));
             case PeerMessage.HeartbeatReply reply -> {}
-            default -> handle(message);
+            default -> {
+                mLastUsedNanos = mClock.nanoTime();
+                handle(message);
+            }
         }
     }
 
@@ -168,6 +185,11 @@
     }
 
     private void tickHeartbeats() {
+        boolean idle = !isBusy() && mClock.nanoTime() - mLastUsedNanos > IDLE_LIMIT_NANOS;
+        if (idle && closesWhenIdle()) {
+            close("not used for 30 s");
+            return;
+        }
         switch (mHeartbeats.tick(mClock.nanoTime(), isBusy())) {
             case NOTHING -> {}
             case SEND_HEARTBEAT -> send(new PeerMessage.Heartbeat(mHeartbeatNumber++));
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -217,6 +217,11 @@
         return !mExchanges.isEmpty() || mPeer.isEmpty();
     }
 
+    @Override
+    boolean closesWhenIdle() {
+        return false;
+    }
+
     @Override
     void suspected() {}
 
--- /dev/null
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/IdleSessionTest.java
@@ -0,0 +1,88 @@
+package org.arbutuslock.daemon.internal.sessions;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.ManualClock;
+import org.arbutuslock.api.RequestId;
+import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
+import org.arbutuslock.internal.messages.PeerMessage;
+import org.testng.annotations.Test;
+
+/** Guards against sessions that stay open to every node that gossip has ever contacted. */
+public class IdleSessionTest {
+    private static final LocalNode LOCAL = new LocalNode("a", 1, "west", "calgary", "127.0.0.1:1");
+
+    private final ManualClock mClock = new ManualClock();
+
+    @Test
+    public void should_close_a_session_that_nobody_uses() {
+        EmbeddedChannel channel = open(false);
+        assertEquals(isOpenAfter(channel, 29), true);
+        assertEquals(isOpenAfter(channel, 2), false);
+    }
+
+    @Test
+    public void should_keep_a_session_with_a_request_in_progress() {
+        assertEquals(isOpenAfter(open(true), 40), true);
+    }
+
+    private EmbeddedChannel open(boolean withRequest) {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        channel.freezeTime();
+        ClientSession session =
+                new ClientSession(
+                        LOCAL,
+                        mClock,
+                        new SessionCounts(),
+                        "127.0.0.1:2",
+                        new ChannelMessages(),
+                        () -> {});
+        session.install(channel);
+        channel.pipeline().fireChannelActive();
+        receive(channel, new PeerMessage.HelloReply(1, "b", 1, 1, "west", "calgary"));
+        if (withRequest) {
+            session.submit(request(), event -> {});
+        }
+        return channel;
+    }
+
+    /** Lets time pass while the other side answers heartbeats. */
+    private boolean isOpenAfter(EmbeddedChannel channel, int seconds) {
+        long tick = Heartbeats.TICK.toMillis();
+        for (long millis = 0; millis < seconds * 1_000L; millis += tick) {
+            mClock.advance(Duration.ofMillis(tick));
+            channel.advanceTimeBy(tick, TimeUnit.MILLISECONDS);
+            channel.runScheduledPendingTasks();
+            if (channel.isOpen()) {
+                receive(channel, new PeerMessage.HeartbeatReply(1));
+            }
+        }
+        return channel.isOpen();
+    }
+
+    private static void receive(EmbeddedChannel channel, PeerMessage message) {
+        channel.pipeline().context(PeerMessageEncoder.class).fireChannelRead(message);
+    }
+
+    private static ExecutionRequest request() {
+        return new ExecutionRequest(
+                new RequestId("a", 1, 8),
+                new EndpointId("orders", "orders-1"),
+                "GET",
+                "/",
+                List.of(),
+                new byte[0],
+                WorkClass.LONG,
+                true,
+                "",
+                1,
+                5,
+                Long.MAX_VALUE);
+    }
+}
