Let requests wait for the first records of a starting node

Cause: a restarted node is ready as soon as it has a configuration, but it learned its first endpoints about 16 ms later and refused requests meanwhile (not run: no endpoint of the service is known). Ruled out: the drain itself, since all failures came from a node that had just started. Change: for 2 s after its start, a node asks again every 20 ms when no endpoint is known, until the request's deadline.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -36,6 +36,7 @@
     private static final int SHED_STATUS = 503;
     private static final int MAXIMUM_ATTEMPTS = 4;
     private static final long QUERY_PAUSE_MILLIS = 20;
+    private static final long STARTING_PAUSE_MILLIS = 20;
     // The home node waits for the deadline too; its last word should arrive first.
     private static final long DEADLINE_GRACE_NANOS = Duration.ofMillis(20).toNanos();
 
@@ -95,7 +96,14 @@
     }
 
     private void startAttempt() {
+        if (mDone) {
+            return;
+        }
         Optional<FleetSnapshot.Member> chosen = choose();
+        if (chosen.isEmpty() && mAttempts == 0 && mServices.isStarting()) {
+            mEventLoop.schedule(this::startAttempt, STARTING_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         if (chosen.isEmpty() || mAttempts == MAXIMUM_ATTEMPTS) {
             refuse();
             return;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -85,6 +85,7 @@
                 new EntryServices(
                         localNode,
                         mClock,
+                        mClock.nanoTime(),
                         configuration,
                         chooser,
                         fleet::current,
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EntryServices.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EntryServices.java
@@ -1,5 +1,6 @@
 package org.arbutuslock.daemon.internal.callers;
 
+import java.time.Duration;
 import java.util.function.Supplier;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
@@ -11,6 +12,7 @@
  *
  * @param localNode identity of this node
  * @param clock time
+ * @param startNanos reading of the clock at the start of this node
  * @param configuration configuration in force
  * @param chooser chooses endpoints
  * @param fleet nodes that this node knows
@@ -21,9 +23,22 @@
 public record EntryServices(
         LocalNode localNode,
         Clock clock,
+        long startNanos,
         ConfigurationHolder configuration,
         EndpointChooser chooser,
         Supplier<FleetSnapshot> fleet,
         HomeNodes homeNodes,
         RetryPolicy retries,
-        RequestObserver observer) {}
+        RequestObserver observer) {
+    // A starting node gets the records of the fleet within a few round trips.
+    private static final long STARTING_NANOS = Duration.ofSeconds(2).toNanos();
+
+    /**
+     * Tells whether this node may still lack records that it will get at once.
+     *
+     * @return true shortly after the start
+     */
+    boolean isStarting() {
+        return clock.nanoTime() - startNanos < STARTING_NANOS;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
@@ -0,0 +1,204 @@
+package org.arbutuslock.daemon.internal.callers;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.ManualClock;
+import org.arbutuslock.api.RequestId;
+import org.arbutuslock.api.RouteDefinition;
+import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.daemon.internal.exchange.Exchange;
+import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
+import org.arbutuslock.daemon.internal.exchange.OutcomeReport;
+import org.arbutuslock.daemon.internal.exchange.ResponseEvent;
+import org.arbutuslock.daemon.internal.exchange.ResponseListener;
+import org.arbutuslock.daemon.internal.sessions.HomeNode;
+import org.arbutuslock.daemon.internal.sessions.LocalNode;
+import org.arbutuslock.internal.ejection.EndpointState;
+import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.membership.EndpointRecord;
+import org.arbutuslock.internal.membership.FleetSnapshot;
+import org.arbutuslock.internal.membership.NodeRecord;
+import org.arbutuslock.internal.messages.BufferedResponse;
+import org.arbutuslock.internal.messages.HeaderField;
+import org.arbutuslock.internal.messages.OutcomeState;
+import org.arbutuslock.internal.selection.LoadReport;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against refusals that come too late or although the request could have been served. */
+public class CallerRequestTest {
+    private static final LocalNode LOCAL = new LocalNode("a", 9, "west", "calgary", "127.0.0.1:1");
+
+    private ManualClock mClock;
+    private EmbeddedChannel mChannel;
+    private Home mHome;
+    private Chooser mChooser;
+    private Response mResponse;
+
+    @BeforeMethod
+    public void createParts() {
+        mClock = new ManualClock();
+        mChannel = new EmbeddedChannel();
+        mHome = new Home();
+        mChooser = new Chooser();
+        mResponse = new Response();
+    }
+
+    @Test
+    public void should_try_elsewhere_after_an_early_refusal() {
+        start();
+        assertEquals(mResponse.mStatus, 503);
+        assertEquals(mHome.mSubmissions, 4);
+    }
+
+    @Test
+    public void should_wait_for_endpoints_when_the_node_has_just_started() {
+        mChooser.mUnknownCalls = 1;
+        start();
+        assertEquals(mHome.mSubmissions, 0);
+        mChannel.advanceTimeBy(50, TimeUnit.MILLISECONDS);
+        mChannel.runScheduledPendingTasks();
+        mChannel.runPendingTasks();
+        assertEquals(mHome.mSubmissions, 4);
+    }
+
+    private void start() {
+        EntryServices services =
+                new EntryServices(
+                        LOCAL,
+                        mClock,
+                        mClock.nanoTime(),
+                        null,
+                        mChooser,
+                        () -> FleetSnapshot.EMPTY,
+                        new HomeNodes(LOCAL, mHome, null),
+                        new AllRetries(),
+                        (route, tenant, latency, result) -> {});
+        new CallerRequest(services, mChannel.eventLoop(), input(), mResponse).start();
+        mChannel.runPendingTasks();
+    }
+
+    private static CallerInput input() {
+        RouteDefinition route =
+                new RouteDefinition(
+                        "orders",
+                        "",
+                        "",
+                        "/orders",
+                        true,
+                        Map.of(),
+                        "orders",
+                        WorkClass.SHORT,
+                        false,
+                        1_000,
+                        5);
+        RequestId id = new RequestId("a", 9, 16);
+        return new CallerInput(id, route, false, "POST", "/orders", List.of(), new byte[0], "", 1);
+    }
+
+    /** Refuses everything after its decision time. */
+    private final class Home implements HomeNode {
+        private Duration mDecisionTime = Duration.ZERO;
+        private int mSubmissions;
+
+        @Override
+        public long openSession(Runnable onFenced) {
+            return 1;
+        }
+
+        @Override
+        public void closeSession(long session) {}
+
+        @Override
+        public Exchange submit(long session, ExecutionRequest request, ResponseListener listener) {
+            mSubmissions++;
+            mClock.advance(mDecisionTime);
+            listener.handle(
+                    new ResponseEvent.Refused(RefusalReason.DEADLINE, "late", LoadReport.UNKNOWN));
+            return new Exchange() {
+                @Override
+                public void grantCredit(int bytes) {}
+
+                @Override
+                public void cancel() {}
+            };
+        }
+
+        @Override
+        public OutcomeReport query(RequestId id, long incarnation, long fencedSession) {
+            return new OutcomeReport(OutcomeState.NOT_RUN, Optional.empty());
+        }
+
+        @Override
+        public void acknowledge(RequestId id) {}
+    }
+
+    /** Chooses an endpoint of this node, at first none. */
+    private static final class Chooser implements EndpointChooser {
+        private int mUnknownCalls;
+
+        @Override
+        public Optional<FleetSnapshot.Member> choose(
+                RouteDefinition route, boolean idempotent, Set<EndpointId> tried) {
+            if (mUnknownCalls-- > 0) {
+                return Optional.empty();
+            }
+            EndpointId id = new EndpointId("orders", "orders-" + tried.size());
+            EndpointRecord endpoint = new EndpointRecord(id, 5, EndpointState.IN_SERVICE, 100);
+            NodeRecord node =
+                    new NodeRecord(
+                            "a", 9, 1, "127.0.0.1:1", "west", "calgary", 0, false, List.of());
+            return Optional.of(new FleetSnapshot.Member(node, endpoint));
+        }
+
+        @Override
+        public void started(FleetSnapshot.Member member, RouteDefinition route) {}
+
+        @Override
+        public void finished(
+                FleetSnapshot.Member member,
+                RouteDefinition route,
+                Duration latency,
+                AttemptResult result,
+                LoadReport load,
+                long bytes) {}
+    }
+
+    /** Allows every retry. */
+    private static final class AllRetries implements RetryPolicy {
+        @Override
+        public void firstAttempt(String service) {}
+
+        @Override
+        public boolean allowRetry(String service) {
+            return true;
+        }
+    }
+
+    /** Keeps the status. */
+    private static final class Response implements CallerResponse {
+        private int mStatus;
+
+        @Override
+        public void sendWhole(BufferedResponse response) {
+            mStatus = response.status();
+        }
+
+        @Override
+        public void start(int status, List<HeaderField> headers) {}
+
+        @Override
+        public void sendPart(byte[] data, boolean last, Runnable sent) {}
+
+        @Override
+        public void abort() {}
+    }
+}
