Wait at shutdown until responses have been written

Cause: a request counted as finished when its response was handed to the connection. A shutdown could close the connection while a slow caller or node had not taken the end of the response. Also, a request on its way between two event loops was counted nowhere. Found by reading the code; ShutdownBench and a slow caller over real sockets did not show it, since the socket buffers took the end in time. Change: a request counts until its response is written; the drain waits until sessions have nothing unsent and everything was idle for 100 ms. Measured: CallerConnectionTest fails before (0 requests while the response is held, 1 expected), passes after. bin/test passes.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -169,7 +169,6 @@
 
     private void finishRequest(boolean keepAlive) {
         mCurrent = Optional.empty();
-        mServer.requestFinished();
         if (!keepAlive) {
             return;
         }
@@ -308,6 +307,8 @@
 
         private void end(ChannelFuture written) {
             mFinished = true;
+            // A request counts until its caller's connection has taken the whole response.
+            written.addListener(done -> mServer.requestFinished());
             if (!mKeepAlive) {
                 written.addListener(ChannelFutureListener.CLOSE);
             }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -19,6 +19,7 @@
 import org.arbutuslock.daemon.internal.metrics.RequestMetrics;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.daemon.internal.sessions.PeerLinks;
+import org.arbutuslock.daemon.internal.sessions.PeerServer;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.logging.Event;
@@ -39,9 +40,12 @@
     // which a leaving server must get no new work.
     private static final Duration NOTICE = Duration.ofMillis(2_500);
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+    // Covers requests and responses that are on their way from one event loop to another.
+    private static final Duration DRAIN_QUIET = Duration.ofMillis(100);
 
     private CallerServer mServer;
     private HomeService mHome;
+    private PeerServer mPeers;
     private Clock mClock;
     private int mDrainSeconds;
 
@@ -72,6 +76,7 @@
         FleetDirectory fleet = context.require(FleetDirectory.class);
         mClock = context.require(Clock.class);
         mHome = context.require(HomeService.class);
+        mPeers = context.require(PeerServer.class);
         mDrainSeconds = settings.limits().drainSeconds();
         FleetEndpointChooser chooser =
                 new FleetEndpointChooser(
@@ -116,17 +121,23 @@
         mServer.closeListener();
         long start = mClock.nanoTime();
         long limitNanos = Duration.ofSeconds(mDrainSeconds).toNanos();
-        while (unfinished() > 0) {
-            if (mClock.nanoTime() - start > limitNanos) {
+        long lastBusyNanos = start;
+        long now = start;
+        while (now - lastBusyNanos < DRAIN_QUIET.toNanos()) {
+            LockSupport.parkNanos(DRAIN_POLL.toNanos());
+            now = mClock.nanoTime();
+            if (unfinished() > 0) {
+                lastBusyNanos = now;
+            }
+            if (now - start > limitNanos) {
                 LOGGER.log(Event.DRAIN_LIMIT_REACHED, mDrainSeconds, unfinished());
                 return;
             }
-            LockSupport.parkNanos(DRAIN_POLL.toNanos());
         }
     }
 
     private int unfinished() {
-        return mServer.activeRequests() + mHome.activeRequests();
+        return mServer.activeRequests() + mHome.activeRequests() + mPeers.unsentSessions();
     }
 
     @Override
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/BodyScheduler.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/BodyScheduler.java
@@ -16,11 +16,17 @@
     private final Channel mChannel;
     private final Map<Long, Queue<PeerMessage.ResponseBody>> mPending = new HashMap<>();
     private final Queue<Long> mTurns = new ArrayDeque<>();
+    private volatile boolean mHasPending;
 
     BodyScheduler(Channel channel) {
         mChannel = channel;
     }
 
+    /** Tells whether parts wait for the channel. Any thread. */
+    boolean hasPending() {
+        return mHasPending;
+    }
+
     /** Queues one part and writes what the channel takes. */
     void add(PeerMessage.ResponseBody part) {
         Queue<PeerMessage.ResponseBody> parts = mPending.get(part.stream());
@@ -37,6 +43,7 @@
     void drop(long stream) {
         if (mPending.remove(stream) != null) {
             mTurns.remove(stream);
+            mHasPending = !mTurns.isEmpty();
         }
     }
 
@@ -50,6 +57,9 @@
         if (written) {
             mChannel.flush();
         }
+        if (mHasPending != !mTurns.isEmpty()) {
+            mHasPending = !mTurns.isEmpty();
+        }
     }
 
     private void writeOnePart(long stream) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -92,6 +93,16 @@
         }
     }
 
+    /** Tells whether messages wait for the connection to take them. Any thread. */
+    final boolean hasUnsent() {
+        Channel channel = mChannel;
+        if (channel == null) {
+            return false;
+        }
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return mBodies.hasPending() || buffer != null && buffer.totalPendingWriteBytes() > 0;
+    }
+
     final void dropBody(long stream) {
         mBodies.drop(stream);
     }
@@ -115,8 +126,8 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
+        mBodies = new BodyScheduler(context.channel());
         mChannel = context.channel();
-        mBodies = new BodyScheduler(mChannel);
         mHeartbeats = new Heartbeats(mClock.nanoTime());
         long tick = Heartbeats.TICK.toMillis();
         mTicks =
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
@@ -5,17 +5,16 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.arbutuslock.api.Clock;
 
 /** Accepts sessions from other nodes. */
 public final class PeerServer {
     private final Channel mListener;
-    private final ChannelGroup mSessions = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Map<Channel, ServerSession> mSessions = new ConcurrentHashMap<>();
 
     /**
      * Starts to listen.
@@ -46,10 +45,16 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        mSessions.add(channel);
-                                        new ServerSession(
-                                                        localNode, clock, homeNode, channelMessages)
-                                                .install(channel);
+                                        ServerSession session =
+                                                new ServerSession(
+                                                        localNode,
+                                                        clock,
+                                                        homeNode,
+                                                        channelMessages);
+                                        mSessions.put(channel, session);
+                                        channel.closeFuture()
+                                                .addListener(closed -> mSessions.remove(channel));
+                                        session.install(channel);
                                     }
                                 })
                         .bind(address)
@@ -66,9 +71,18 @@
         return (InetSocketAddress) mListener.localAddress();
     }
 
+    /**
+     * Counts the sessions on which messages wait for the connection to take them.
+     *
+     * @return sessions of other nodes
+     */
+    public int unsentSessions() {
+        return (int) mSessions.values().stream().filter(ServerSession::hasUnsent).count();
+    }
+
     /** Closes the listener and all sessions. */
     public void close() {
         mListener.close().syncUninterruptibly();
-        mSessions.close().awaitUninterruptibly();
+        mSessions.keySet().forEach(channel -> channel.close().awaitUninterruptibly());
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/SessionsPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/SessionsPlugin.java
@@ -47,6 +47,7 @@
                         messages);
         context.provide(ChannelMessages.class, messages);
         context.provide(PeerLinks.class, mLinks);
+        context.provide(PeerServer.class, mServer);
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerConnectionTest.java
@@ -0,0 +1,57 @@
+package org.arbutuslock.daemon.internal.callers;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** Guards against a shutdown that cuts off a response which a slow caller has not taken yet. */
+public class CallerConnectionTest {
+    @Test
+    public void should_count_a_request_until_its_response_is_written() {
+        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        CallerServer server =
+                new CallerServer(
+                        loops,
+                        new InetSocketAddress("127.0.0.1", 0),
+                        new CallerLimits(8_192, Duration.ofSeconds(60), 10),
+                        null);
+        try {
+            HeldWrites held = new HeldWrites();
+            EmbeddedChannel channel = new EmbeddedChannel(held, new CallerConnection(server, null));
+            channel.writeInbound(
+                    new DefaultFullHttpRequest(
+                            HttpVersion.HTTP_1_1, HttpMethod.GET, "/.arbutuslock/requests/x"));
+            channel.runPendingTasks();
+            assertEquals(server.activeRequests(), 1);
+            held.mPromise.setSuccess();
+            channel.runPendingTasks();
+            assertEquals(server.activeRequests(), 0);
+        } finally {
+            server.close();
+            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+    }
+
+    /** Stands for a caller that does not read. */
+    private static final class HeldWrites extends ChannelOutboundHandlerAdapter {
+        private ChannelPromise mPromise;
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            mPromise = promise;
+        }
+    }
+}
