Report a backend server as drained after its port has closed

Cause: a closed listener accepts connections until the next selection of its event loop, but the drain was reported before. Under load BackendServerTest.should_announce_itself_and_finish_its_work_when_it_departs failed once in two runs of bin/test; that a process of another test got the port in between is not ruled out.

--- a/testbed/src/main/java/org/arbutuslock/testbed/backend/BackendServer.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/backend/BackendServer.java
@@ -148,7 +148,7 @@
         if (now - lastBusyNanos >= quiet.toNanos() || now - limitNanos >= 0) {
             mAnnouncer.ifPresent(Announcer::close);
             mListener.close();
-            mConnections.close().addListener(done -> drained.complete(idle));
+            mConnections.close().addListener(done -> completeWhenClosed(drained, idle));
             return;
         }
         mLoop.schedule(
@@ -157,6 +157,11 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /** The port still accepts connections until the selector has let go of the closed listener. */
+    private void completeWhenClosed(CompletableFuture<Boolean> drained, boolean idle) {
+        mLoop.schedule(() -> drained.complete(idle), DRAIN_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private Channel listen(int port) {
         BackendControl control = new BackendControl(mState);
         return new ServerBootstrap()
