--- a/testbed/src/main/java/org/arbutuslock/testbed/fault/FaultHistory.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fault/FaultHistory.java
@@ -84,7 +84,8 @@
         FaultSchedule schedule = new FaultSchedule(mPlan.seed(), mPlan.kinds(), NODES);
         FaultInjector injector = new FaultInjector(mFleet, mNodes, mBackends, schedule);
         long start = System.nanoTime();
-        try (HistoryCallers callers = new HistoryCallers(mNodes, entryNodes, mPlan.seed())) {
+        try (HistoryCallers callers =
+                new HistoryCallers(mNodes, entryNodes, mPlan.seed(), entry -> true)) {
             try (injector) {
                 injector.start();
                 callers.run(mPlan.callers(), mPlan.requests(), mPlan.interval());
--- a/testbed/src/main/java/org/arbutuslock/testbed/fault/HistoryCallers.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fault/HistoryCallers.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.IntPredicate;
 import org.arbutuslock.testbed.backend.ExecutionRecord;
 import org.arbutuslock.testbed.fault.HistoryOperation.LaterOutcome;
 import org.arbutuslock.testbed.fault.HistoryOperation.Result;
@@ -35,11 +36,23 @@
     private final List<String> mEntryNames;
     private final List<InetSocketAddress> mEntryNodes;
     private final long mSeed;
+    private final IntPredicate mUsable;
     private final Queue<HistoryOperation> mOperations = new ConcurrentLinkedQueue<>();
     private final Queue<HistoryRequest> mRequests = new ConcurrentLinkedQueue<>();
     private final AtomicInteger mSent = new AtomicInteger();
-
-    HistoryCallers(List<String> entryNames, List<InetSocketAddress> entryNodes, long seed) {
+    private volatile boolean mStopped;
+
+    /**
+     * Creates callers that have sent nothing.
+     *
+     * @param usable tells by index which entry nodes get requests; at least one must
+     */
+    HistoryCallers(
+            List<String> entryNames,
+            List<InetSocketAddress> entryNodes,
+            long seed,
+            IntPredicate usable) {
+        mUsable = usable;
         mEntryNames = List.copyOf(entryNames);
         mEntryNodes = List.copyOf(entryNodes);
         mSeed = seed;
@@ -49,8 +62,9 @@
         return List.copyOf(mOperations);
     }
 
-    int sent() {
-        return mSent.get();
+    /** Lets every caller end after its current request. */
+    void stop() {
+        mStopped = true;
     }
 
     /** Sends requests from several callers at an average interval each until the total is sent. */
@@ -67,15 +81,22 @@
 
     private void sendUntil(int total, Duration interval, SplittableRandom random) {
         int number = mSent.getAndIncrement();
-        while (number < total) {
-            int entry = random.nextInt(mEntryNodes.size());
+        while (number < total && !mStopped) {
+            int entry = drawEntry(random);
             HistoryRequest request = HistoryRequest.draw(mSeed + "-" + number, random);
             mRequests.add(request);
             send(request, entry);
             LockSupport.parkNanos(random.nextLong(2 * interval.toNanos()));
             number = mSent.getAndIncrement();
         }
-        mSent.decrementAndGet();
+    }
+
+    private int drawEntry(SplittableRandom random) {
+        int entry = random.nextInt(mEntryNodes.size());
+        while (!mUsable.test(entry)) {
+            entry = random.nextInt(mEntryNodes.size());
+        }
+        return entry;
     }
 
     private void send(HistoryRequest request, int entry) {
