--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -21,6 +21,7 @@
 import org.arbutuslock.daemon.internal.metrics.RetryMetrics;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.daemon.internal.sessions.PeerLinks;
+import org.arbutuslock.daemon.internal.sessions.PeerServer;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.logging.Event;
@@ -41,9 +42,12 @@
     // which a leaving server must get no new work.
     private static final Duration NOTICE = Duration.ofMillis(2_500);
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+    // Covers requests and responses that are on their way from one event loop to another.
+    private static final Duration DRAIN_QUIET = Duration.ofMillis(100);
 
     private CallerServer mServer;
     private HomeService mHome;
+    private PeerServer mPeers;
     private Clock mClock;
     private int mDrainSeconds;
 
@@ -74,6 +78,7 @@
         FleetDirectory fleet = context.require(FleetDirectory.class);
         mClock = context.require(Clock.class);
         mHome = context.require(HomeService.class);
+        mPeers = context.require(PeerServer.class);
         mDrainSeconds = settings.limits().drainSeconds();
         FleetEndpointChooser chooser =
                 new FleetEndpointChooser(
@@ -87,6 +92,7 @@
                 new EntryServices(
                         localNode,
                         mClock,
+                        mClock.nanoTime(),
                         configuration,
                         chooser,
                         fleet::current,
@@ -119,17 +125,23 @@
         mServer.closeListener();
         long start = mClock.nanoTime();
         long limitNanos = Duration.ofSeconds(mDrainSeconds).toNanos();
-        while (unfinished() > 0) {
-            if (mClock.nanoTime() - start > limitNanos) {
+        long lastBusyNanos = start;
+        long now = start;
+        while (now - lastBusyNanos < DRAIN_QUIET.toNanos()) {
+            LockSupport.parkNanos(DRAIN_POLL.toNanos());
+            now = mClock.nanoTime();
+            if (unfinished() > 0) {
+                lastBusyNanos = now;
+            }
+            if (now - start > limitNanos) {
                 LOGGER.log(Event.DRAIN_LIMIT_REACHED, mDrainSeconds, unfinished());
                 return;
             }
-            LockSupport.parkNanos(DRAIN_POLL.toNanos());
         }
     }
 
     private int unfinished() {
-        return mServer.activeRequests() + mHome.activeRequests();
+        return mServer.activeRequests() + mHome.activeRequests() + mPeers.unsentSessions();
     }
 
     @Override
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuard.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuard.java
@@ -4,14 +4,19 @@
 import java.util.random.RandomGenerator;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.internal.configuration.Configuration;
 import org.arbutuslock.internal.ejection.EjectionAction;
 import org.arbutuslock.internal.ejection.EjectionCoordinator;
 import org.arbutuslock.internal.ejection.EjectionSettings;
+import org.arbutuslock.internal.membership.FleetSnapshot;
 
 /** Coordinator of one local endpoint with what the daemon keeps beside it. */
 final class EndpointGuard {
     private final EndpointId mId;
     private final EjectionCoordinator mCoordinator;
+    private FleetSnapshot mFleet;
+    private Configuration mConfiguration;
+    private List<EndpointId> mOthers = List.of();
     private boolean mDeparting;
     private boolean mDrainRequested;
 
@@ -30,6 +35,22 @@
         return mCoordinator;
     }
 
+    /** Tells whether the view of the service was made from these snapshots. */
+    boolean hasSeen(FleetSnapshot fleet, Configuration configuration) {
+        return mFleet == fleet && mConfiguration == configuration;
+    }
+
+    void remember(FleetSnapshot fleet, Configuration configuration, List<EndpointId> others) {
+        mFleet = fleet;
+        mConfiguration = configuration;
+        mOthers = others;
+    }
+
+    /** Returns the other endpoints of the service. */
+    List<EndpointId> others() {
+        return mOthers;
+    }
+
     List<EjectionAction> depart(String reason) {
         mDeparting = true;
         return mCoordinator.depart(reason);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
@@ -19,6 +19,7 @@
 import org.arbutuslock.daemon.internal.home.Observation;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.daemon.internal.sessions.PeerLinks;
+import org.arbutuslock.internal.configuration.Configuration;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.detection.HealthReport;
 import org.arbutuslock.internal.detection.HealthReportCodec;
@@ -150,14 +151,25 @@
     /** Lets time pass. Call it on the event loop every {@link #TICK_MILLIS}. */
     public void tick() {
         for (EndpointGuard guard : List.copyOf(mGuards.values())) {
-            List<EndpointId> others = others(guard.id());
-            apply(guard, guard.coordinator().updateService(others, floor(guard.id())));
-            Verdict verdict = mHealth.evaluate(guard.id(), others);
+            updateService(guard);
+            Verdict verdict = mHealth.evaluate(guard.id(), guard.others());
             apply(guard, guard.coordinator().observeVerdict(verdict));
             finishDeparture(guard);
         }
     }
 
+    /** Snapshots change rarely compared with ticks; their references tell when they did. */
+    private void updateService(EndpointGuard guard) {
+        FleetSnapshot fleet = mFleet.get();
+        Configuration configuration = mConfiguration.current();
+        if (guard.hasSeen(fleet, configuration)) {
+            return;
+        }
+        List<EndpointId> others = others(guard.id());
+        guard.remember(fleet, configuration, others);
+        apply(guard, guard.coordinator().updateService(others, floor(guard.id())));
+    }
+
     /**
      * Asks something of the coordinator of a local endpoint. Any thread.
      *
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -82,6 +82,7 @@
                     }
                     long number = ++mLastQuery;
                     mQueries.put(number, reply);
+                    becameBusy();
                     send(new PeerMessage.OutcomeQuery(number, id, incarnation, session));
                 });
         return reply;
@@ -241,6 +242,7 @@
             }
             mStream = ++mLastStream;
             mStreams.put(mStream, new Stream(listener));
+            becameBusy();
             send(toSubmit(request));
             sendBody(request.body());
         }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/Heartbeats.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/Heartbeats.java
@@ -10,8 +10,8 @@
  * thousands of idle sessions share the control bandwidth of a node.
  */
 public final class Heartbeats {
-    /** Time between two calls of {@link #tick}. */
-    public static final Duration TICK = Duration.ofMillis(125);
+    private static final Duration BUSY_TICK = Duration.ofMillis(125);
+    private static final Duration IDLE_TICK = Duration.ofSeconds(1);
 
     private static final long BUSY_INTERVAL_NANOS = Duration.ofMillis(250).toNanos();
     private static final long IDLE_INTERVAL_NANOS = Duration.ofSeconds(10).toNanos();
@@ -21,6 +21,7 @@
     private long mLastReceivedNanos;
     private long mLastTickNanos;
     private long mAskedNanos;
+    private long mExpectedNanos;
     private boolean mAsked;
 
     /**
@@ -33,6 +34,18 @@
         mLastTickNanos = nowNanos;
     }
 
+    /**
+     * Tells when {@link #tick} must be called next.
+     *
+     * @param busy true when requests are in progress on the session
+     * @return time until the next call
+     */
+    public Duration nextTick(boolean busy) {
+        Duration next = busy ? BUSY_TICK : IDLE_TICK;
+        mExpectedNanos = next.toNanos();
+        return next;
+    }
+
     /**
      * Notes that something was received.
      *
@@ -51,7 +64,7 @@
      * @return what to do
      */
     public Decision tick(long nowNanos, boolean busy) {
-        boolean paused = nowNanos - mLastTickNanos > SUSPECT_NANOS;
+        boolean paused = nowNanos - mLastTickNanos > mExpectedNanos + SUSPECT_NANOS;
         mLastTickNanos = nowNanos;
         if (paused) {
             // This process stood still, so that the other side had no chance to be heard.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -33,6 +34,7 @@
     private Future<?> mTicks;
     private long mHeartbeatNumber;
     private long mLastUsedNanos;
+    private boolean mTickedAsBusy;
     private String mCloseReason = "closed by the other side";
 
     PeerChannel(Clock clock, SessionCounts counts) {
@@ -107,6 +109,16 @@
         }
     }
 
+    /** Tells whether messages wait for the connection to take them. Any thread. */
+    final boolean hasUnsent() {
+        Channel channel = mChannel;
+        if (channel == null) {
+            return false;
+        }
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return mBodies.hasPending() || buffer != null && buffer.totalPendingWriteBytes() > 0;
+    }
+
     final void dropBody(long stream) {
         mBodies.drop(stream);
     }
@@ -130,16 +142,12 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
+        mBodies = new BodyScheduler(context.channel());
         mChannel = context.channel();
         mCounts.addOpen();
-        mBodies = new BodyScheduler(mChannel);
         mHeartbeats = new Heartbeats(mClock.nanoTime());
         mLastUsedNanos = mClock.nanoTime();
-        long tick = Heartbeats.TICK.toMillis();
-        mTicks =
-                mChannel.eventLoop()
-                        .scheduleWithFixedDelay(
-                                this::tickHeartbeats, tick, tick, TimeUnit.MILLISECONDS);
+        scheduleTick();
         opened();
     }
 
@@ -184,6 +192,27 @@
         context.close();
     }
 
+    private void scheduleTick() {
+        mTickedAsBusy = isBusy();
+        long delay = mHeartbeats.nextTick(mTickedAsBusy).toMillis();
+        mTicks = mChannel.eventLoop().schedule(this::tick, delay, TimeUnit.MILLISECONDS);
+    }
+
+    /** Watches the session closely from now on. Called on the event loop when a request starts. */
+    final void becameBusy() {
+        if (!mTickedAsBusy) {
+            mTicks.cancel(false);
+            scheduleTick();
+        }
+    }
+
+    private void tick() {
+        tickHeartbeats();
+        if (mChannel.isActive()) {
+            scheduleTick();
+        }
+    }
+
     private void tickHeartbeats() {
         boolean idle = !isBusy() && mClock.nanoTime() - mLastUsedNanos > IDLE_LIMIT_NANOS;
         if (idle && closesWhenIdle()) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -267,6 +267,7 @@
             Exchange exchange = mHomeNode.submit(mSession, toRequest(), listener);
             if (!listener.isFinished()) {
                 mExchanges.put(stream, exchange);
+                becameBusy();
             }
         }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/SessionsPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/SessionsPlugin.java
@@ -50,6 +50,7 @@
         context.provide(SessionCounts.class, counts);
         context.provide(ChannelMessages.class, messages);
         context.provide(PeerLinks.class, mLinks);
+        context.provide(PeerServer.class, mServer);
     }
 
     @Override
