Spread configuration changes between nodes

Cause: every node watches the change log. At 8,500 nodes that is 8,500 waiting watches and 850 lists a second, which the store's budget of calls does not hold.

ConfigurationHolder reports what it applied, SnapshotCodec also encodes small parts, and StableHash of membership is public for the ranks of relays and candidates.

--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/Configuration.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/Configuration.java
@@ -225,6 +225,16 @@
         return mEntities;
     }
 
+    /**
+     * Returns the id of a recent change.
+     *
+     * @param revision revision that the change produced
+     * @return its id, or empty when the revision is not among the recent ones
+     */
+    public Optional<UUID> changeIdOf(long revision) {
+        return Optional.ofNullable(mRecentChanges.idOf(revision));
+    }
+
     RecentChanges recentChanges() {
         return mRecentChanges;
     }
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationHolder.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/ConfigurationHolder.java
@@ -1,6 +1,8 @@
 package org.arbutuslock.internal.configuration;
 
+import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -17,9 +19,37 @@
     private final AtomicReference<Configuration> mCurrent =
             new AtomicReference<>(Configuration.EMPTY);
 
+    private final List<Listener> mListeners = new CopyOnWriteArrayList<>();
+
+    /** Gets what was applied, on the thread that applied it. Calls can overlap. */
+    public interface Listener {
+        /**
+         * A change is in force.
+         *
+         * @param change the change
+         */
+        void changeApplied(ConfigurationChange change);
+
+        /**
+         * A whole configuration is in force.
+         *
+         * @param configuration the configuration
+         */
+        void snapshotApplied(Configuration configuration);
+    }
+
     /** Creates a holder of the empty configuration, revision 0. */
     public ConfigurationHolder() {}
 
+    /**
+     * Registers a listener.
+     *
+     * @param listener gets what is applied from now on
+     */
+    public void addListener(Listener listener) {
+        mListeners.add(listener);
+    }
+
     /**
      * Returns the configuration in force.
      *
@@ -45,6 +75,7 @@
                 return new ApplyResult.Missing(before.revision(), change.revision());
             }
             if (mCurrent.compareAndSet(before, before.apply(change))) {
+                mListeners.forEach(listener -> listener.changeApplied(change));
                 return new ApplyResult.Applied(change.revision());
             }
         }
@@ -85,6 +116,7 @@
                 return new ApplyResult.AlreadyApplied(before.revision());
             }
             if (mCurrent.compareAndSet(before, snapshot)) {
+                mListeners.forEach(listener -> listener.snapshotApplied(snapshot));
                 return new ApplyResult.Applied(snapshot.revision());
             }
         }
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/SnapshotCodec.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/SnapshotCodec.java
@@ -20,8 +20,14 @@
  * }</pre>
  */
 public final class SnapshotCodec {
-    /** Twice the design size takes about 60 parts. */
-    public static final int MAXIMUM_PARTS = 1000;
+    /** Twice the design size takes about 60 parts in the store and 1,300 between nodes. */
+    public static final int MAXIMUM_PARTS = 3000;
+
+    /** Largest part in a message between nodes; the message stays below 64 KiB. */
+    public static final int PEER_PART_BYTES = 63 << 10;
+
+    /** Leaves room for the header and one element of the largest size. */
+    private static final int PEER_BODY_BYTES = 48 << 10;
 
     static final int FORMAT_VERSION = 1;
     static final int HEADER_FIELDS = 5;
@@ -41,7 +47,11 @@
     private MessageBufferPacker mPacker = MessagePack.newDefaultBufferPacker();
     private int mElementCount;
 
-    private SnapshotCodec() {}
+    private final int mBodyBytes;
+
+    private SnapshotCodec(int bodyBytes) {
+        mBodyBytes = bodyBytes;
+    }
 
     /** Packs one element behind its type. */
     private interface Packing {
@@ -55,7 +65,21 @@
      * @return parts in order, each below 1 MB
      */
     public static List<byte[]> encode(Configuration configuration) {
-        SnapshotCodec codec = new SnapshotCodec();
+        return encode(configuration, BODY_BYTES);
+    }
+
+    /**
+     * Encodes a configuration for messages between nodes.
+     *
+     * @param configuration configuration to encode
+     * @return parts in order, each at most {@link #PEER_PART_BYTES}
+     */
+    public static List<byte[]> encodeForPeers(Configuration configuration) {
+        return encode(configuration, PEER_BODY_BYTES);
+    }
+
+    private static List<byte[]> encode(Configuration configuration, int bodyBytes) {
+        SnapshotCodec codec = new SnapshotCodec(bodyBytes);
         codec.addRecentChanges(configuration.recentChanges());
         codec.addServices(configuration);
         codec.addRoutes(configuration);
@@ -105,7 +129,7 @@
             throw new UncheckedIOException(impossible);
         }
         mElementCount++;
-        if (mPacker.getTotalWrittenBytes() > BODY_BYTES) {
+        if (mPacker.getTotalWrittenBytes() > mBodyBytes) {
             endPart();
         }
     }
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/WatcherElection.java
@@ -0,0 +1,164 @@
+package org.arbutuslock.internal.configuration.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides when this node claims, keeps and gives up a slot of a watcher. A node counts itself as a
+ * watcher only while its lease is valid by its own clock.
+ */
+final class WatcherElection {
+    /** Slots of each availability zone. */
+    static final int SLOTS = 3;
+
+    /** A replacement takes up to one lease and one poll; the other watchers serve meanwhile. */
+    static final Duration LEASE = Duration.ofSeconds(10);
+
+    private static final long RENEWAL_NANOS = LEASE.toNanos() / 3;
+
+    /** The lease ends here before it ends in the store, also when the clocks' rates differ. */
+    private static final long VALID_NANOS = LEASE.toNanos() * 9 / 10;
+
+    private static final long RENEWAL_RETRY_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** 3 candidates without a slot in 20 zones make 12 of about 2,000 reads a second. */
+    private static final long POLL_NANOS = Duration.ofSeconds(5).toNanos();
+
+    private static final long FIRST_BACKOFF_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long LONGEST_BACKOFF_NANOS = Duration.ofSeconds(10).toNanos();
+
+    private enum State {
+        IDLE,
+        LISTING,
+        CLAIMING,
+        HOLDING
+    }
+
+    private final RandomGenerator mRandom;
+    private State mState = State.IDLE;
+    private int mSlot;
+    private long mLease;
+    private long mValidUntilNanos;
+    private long mRenewAtNanos;
+    private boolean mRenewing;
+    private long mSentNanos;
+    private long mTryAtNanos;
+    private long mBackoffNanos = FIRST_BACKOFF_NANOS;
+
+    WatcherElection(RandomGenerator random, long now) {
+        mRandom = random;
+        mTryAtNanos = now;
+    }
+
+    boolean isWatching(long now) {
+        return mState == State.HOLDING && now - mValidUntilNanos < 0;
+    }
+
+    /** Gives up a lapsed lease. Called before every other decision, since a pause shows nowhere. */
+    void checkLease(long now, List<SpreadAction> actions) {
+        if (mState == State.HOLDING && !isWatching(now)) {
+            giveUp("the lease lapsed", now, actions);
+        }
+    }
+
+    /** Takes the next step; a node that is not a candidate makes no call to the store. */
+    void tick(boolean candidate, long now, List<SpreadAction> actions) {
+        if (mState == State.HOLDING && !mRenewing && now - mRenewAtNanos >= 0) {
+            mRenewing = true;
+            mSentNanos = now;
+            actions.add(new SpreadAction.RenewLease(mLease));
+        } else if (mState == State.IDLE && candidate && now - mTryAtNanos >= 0) {
+            mState = State.LISTING;
+            actions.add(new SpreadAction.ListSlots());
+        }
+    }
+
+    /** Handles the slots that are taken, or empty when the store did not respond. */
+    void slotsListed(Optional<Set<Integer>> taken, long now, List<SpreadAction> actions) {
+        if (mState != State.LISTING) {
+            return;
+        }
+        if (taken.isEmpty()) {
+            backOff(now);
+            return;
+        }
+        mBackoffNanos = FIRST_BACKOFF_NANOS;
+        List<Integer> free = new ArrayList<>();
+        for (int slot = 0; slot < SLOTS; slot++) {
+            if (!taken.get().contains(slot)) {
+                free.add(slot);
+            }
+        }
+        if (free.isEmpty()) {
+            waitAbout(POLL_NANOS, now);
+            return;
+        }
+        mState = State.CLAIMING;
+        mSentNanos = now;
+        actions.add(new SpreadAction.ClaimSlot(free.get(mRandom.nextInt(free.size()))));
+    }
+
+    /** Handles the end of a claim. The lease counts from the moment at which it was requested. */
+    void slotClaimed(int slot, WatcherSlots.Claim claim, long now, List<SpreadAction> actions) {
+        if (mState != State.CLAIMING) {
+            return;
+        }
+        switch (claim) {
+            case WatcherSlots.Claim.Held(long lease) -> hold(slot, lease, now, actions);
+            case WatcherSlots.Claim.Taken _ -> waitAbout(FIRST_BACKOFF_NANOS, now);
+            case WatcherSlots.Claim.Failed _ -> backOff(now);
+        }
+    }
+
+    private void hold(int slot, long lease, long now, List<SpreadAction> actions) {
+        mState = State.HOLDING;
+        mSlot = slot;
+        mLease = lease;
+        mRenewing = false;
+        extend();
+        if (isWatching(now)) {
+            actions.add(new SpreadAction.StartWatching(mSlot));
+        } else {
+            waitAbout(FIRST_BACKOFF_NANOS, now);
+        }
+    }
+
+    /** Handles the end of a renewal. */
+    void leaseRenewed(
+            long lease, WatcherSlots.Renewal renewal, long now, List<SpreadAction> actions) {
+        if (mState != State.HOLDING || lease != mLease) {
+            return;
+        }
+        mRenewing = false;
+        switch (renewal) {
+            case RENEWED -> extend();
+            case EXPIRED -> giveUp("the store dropped the lease", now, actions);
+            case FAILED -> mRenewAtNanos = now + RENEWAL_RETRY_NANOS;
+        }
+    }
+
+    private void extend() {
+        mValidUntilNanos = mSentNanos + VALID_NANOS;
+        mRenewAtNanos = mSentNanos + RENEWAL_NANOS;
+    }
+
+    private void giveUp(String reason, long now, List<SpreadAction> actions) {
+        actions.add(new SpreadAction.StopWatching(reason));
+        backOff(now);
+    }
+
+    private void backOff(long now) {
+        waitAbout(mBackoffNanos, now);
+        mBackoffNanos = Math.min(LONGEST_BACKOFF_NANOS, mBackoffNanos * 2);
+    }
+
+    /** Jitter keeps the calls of many nodes apart after an outage of the store. */
+    private void waitAbout(long nanos, long now) {
+        mState = State.IDLE;
+        mTryAtNanos = now + nanos / 2 + mRandom.nextLong(nanos);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/WatcherSlots.java
@@ -0,0 +1,136 @@
+package org.arbutuslock.internal.configuration.spread;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.arbutuslock.api.store.LeaseResult;
+import org.arbutuslock.api.store.ListResult;
+import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.api.store.StoreEntry;
+import org.arbutuslock.api.store.WriteResult;
+
+/**
+ * Keys {@code watchers/<availability zone>/<slot>} in the platform's store.
+ *
+ * <pre>{@code
+ * WatcherSlots slots = new WatcherSlots(store, "calgary-a", "calgary-a-1");
+ * slots.claim(0).thenAccept(claim -> ...);
+ * }</pre>
+ */
+public final class WatcherSlots {
+    private static final int LISTED_SLOTS = 16;
+
+    private final PlatformStore mStore;
+    private final String mPrefix;
+    private final byte[] mHolder;
+
+    /**
+     * Creates the slots of an availability zone.
+     *
+     * @param store platform's store
+     * @param zone name of the availability zone
+     * @param node name of this node, which the slot shows to operators
+     */
+    public WatcherSlots(PlatformStore store, String zone, String node) {
+        mStore = store;
+        mPrefix = "watchers/" + zone + "/";
+        mHolder = node.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Outcome of a claim. */
+    public sealed interface Claim {
+        /**
+         * This node holds the slot.
+         *
+         * @param lease number of its lease
+         */
+        record Held(long lease) implements Claim {}
+
+        /** Another node holds the slot. */
+        record Taken() implements Claim {}
+
+        /** The store did not respond; a slot that was claimed nevertheless lapses unrenewed. */
+        record Failed() implements Claim {}
+    }
+
+    /** Outcome of a renewal. */
+    public enum Renewal {
+        /** The lease lives for its whole duration. */
+        RENEWED,
+        /** The lease has ended. */
+        EXPIRED,
+        /** The store did not respond. */
+        FAILED
+    }
+
+    /**
+     * Lists the slots that are taken.
+     *
+     * @return their numbers, or empty when the store did not respond
+     */
+    public CompletableFuture<Optional<Set<Integer>>> list() {
+        return mStore.list(mPrefix, "", LISTED_SLOTS)
+                .thenApply(
+                        result ->
+                                result instanceof ListResult.Page page
+                                        ? Optional.of(slotsOf(page))
+                                        : Optional.empty());
+    }
+
+    private Set<Integer> slotsOf(ListResult.Page page) {
+        Set<Integer> slots = new HashSet<>();
+        for (int slot = 0; slot < WatcherElection.SLOTS; slot++) {
+            String key = mPrefix + slot;
+            if (page.entries().stream().anyMatch(entry -> entry.key().equals(key))) {
+                slots.add(slot);
+            }
+        }
+        return slots;
+    }
+
+    /**
+     * Claims a slot with a new lease.
+     *
+     * @param slot number of the slot
+     * @return outcome
+     */
+    public CompletableFuture<Claim> claim(int slot) {
+        return mStore.grantLease(WatcherElection.LEASE)
+                .thenCompose(
+                        result ->
+                                result instanceof LeaseResult.Granted granted
+                                        ? claim(slot, granted.lease())
+                                        : CompletableFuture.completedFuture(new Claim.Failed()));
+    }
+
+    private CompletableFuture<Claim> claim(int slot, long lease) {
+        return mStore.compareAndSwap(mPrefix + slot, StoreEntry.ABSENT_VERSION, mHolder, lease)
+                .thenApply(
+                        result ->
+                                switch (result) {
+                                    case WriteResult.Applied _ -> new Claim.Held(lease);
+                                    case WriteResult.Conflict _ -> new Claim.Taken();
+                                    case WriteResult.Unavailable _, WriteResult.Unknown _ ->
+                                            new Claim.Failed();
+                                });
+    }
+
+    /**
+     * Renews a lease.
+     *
+     * @param lease number of the lease
+     * @return outcome
+     */
+    public CompletableFuture<Renewal> renew(long lease) {
+        return mStore.renewLease(lease)
+                .thenApply(
+                        result ->
+                                switch (result) {
+                                    case LeaseResult.Granted _ -> Renewal.RENEWED;
+                                    case LeaseResult.Expired _ -> Renewal.EXPIRED;
+                                    case LeaseResult.Unavailable _ -> Renewal.FAILED;
+                                });
+    }
+}
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -73,6 +73,15 @@
     CHANGE_DELETED(7005, Level.ERROR, "{0} was deleted from the change log"),
     /** A snapshot was written to the store. */
     SNAPSHOT_WRITTEN(7006, Level.INFO, "snapshot of revision {0} written in {1} parts"),
+    /** A peer sent something about the configuration that this node refuses. */
+    PEER_CONFIGURATION_REFUSED(
+            7007, Level.WARNING, "configuration from node {0} was refused: {1}; in force: {2}"),
+    /** This node watches the change log for its availability zone. */
+    WATCHER_STARTED(7008, Level.INFO, "this node watches the change log in slot {0}"),
+    /** This node does not watch the change log any more. */
+    WATCHER_STOPPED(7009, Level.INFO, "this node stopped watching the change log: {0}"),
+    /** A snapshot of the configuration could not be written; another watcher will try. */
+    SNAPSHOT_NOT_WRITTEN(7010, Level.WARNING, "snapshot not written: {0}"),
     /** The connection to the store failed; logged once until it works again. */
     STORE_DISCONNECTED(7901, Level.WARNING, "store {0} is not reachable: {1}"),
     /** The store responds again. */
--- a/kernel/src/main/java/org/arbutuslock/internal/membership/StableHash.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/StableHash.java
@@ -6,13 +6,18 @@
 import java.security.NoSuchAlgorithmException;
 
 /** Hashes that are the same on every node and every release of the Java runtime. */
-final class StableHash {
+public final class StableHash {
     private static final int STAMP_BYTES = 3 * Long.BYTES;
 
     private StableHash() {}
 
-    /** Hashes a name to at least two independent numbers. */
-    static ByteBuffer ofName(String name) {
+    /**
+     * Hashes a name.
+     *
+     * @param name the name
+     * @return at least two independent numbers
+     */
+    public static ByteBuffer ofName(String name) {
         return ByteBuffer.wrap(digest(name.getBytes(StandardCharsets.UTF_8)));
     }
 
--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/configuration/spread/ConfigurationSpreadTest.java
@@ -0,0 +1,148 @@
+package org.arbutuslock.internal.configuration.spread;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.UUID;
+import org.arbutuslock.api.ManualClock;
+import org.arbutuslock.api.TenantDefinition;
+import org.arbutuslock.internal.configuration.ConfigurationChange;
+import org.arbutuslock.internal.configuration.ConfigurationChangeCodec;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.configuration.ConfigurationOperation;
+import org.arbutuslock.internal.configuration.SnapshotCodec;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards the decisions of one node about watching and about what peers send. */
+public class ConfigurationSpreadTest {
+    private static final SpreadMessage.Sender PEER = new SpreadMessage.Sender("mona-2", "mona-2");
+    private static final SpreadMessage.Origin ORIGIN =
+            new SpreadMessage.Origin("kingston", "kgn-mona");
+
+    private ManualClock mClock;
+    private ConfigurationHolder mHolder;
+    private ConfigurationSpread mSpread;
+
+    @BeforeMethod
+    public void start() {
+        mClock = new ManualClock();
+        mHolder = new ConfigurationHolder();
+        NodeIdentity self = new NodeIdentity("mona-1", "mona-1", "kingston", "kgn-mona");
+        mSpread = new ConfigurationSpread(self, mHolder::current, mClock, new SplittableRandom(1));
+    }
+
+    private static ConfigurationChange change(long revision) {
+        return new ConfigurationChange(
+                revision,
+                new UUID(7, revision),
+                "ada",
+                0,
+                revision - 1,
+                List.of(
+                        new ConfigurationOperation.PutTenant(
+                                new TenantDefinition("team-" + revision, 1))));
+    }
+
+    private static SpreadMessage news(long revision) {
+        byte[] encoded = ConfigurationChangeCodec.encode(change(revision));
+        return new SpreadMessage.Changes(
+                PEER, revision, SpreadMessage.NO_ID, ORIGIN, false, List.of(encoded));
+    }
+
+    private void carryOut(List<SpreadAction> actions) {
+        for (SpreadAction action : actions) {
+            if (action instanceof SpreadAction.ApplyChange apply) {
+                mHolder.apply(apply.change());
+            }
+        }
+    }
+
+    private static boolean has(List<SpreadAction> actions, Class<?> type) {
+        return actions.stream().anyMatch(type::isInstance);
+    }
+
+    @Test
+    public void should_apply_in_order_what_arrives_out_of_order() {
+        carryOut(mSpread.receive(news(3)));
+        carryOut(mSpread.receive(news(2)));
+        assertEquals(mSpread.status().waitingChanges(), 2);
+        carryOut(mSpread.receive(news(1)));
+        assertEquals(mHolder.current().revision(), 3);
+        assertEquals(mSpread.status().waitingChanges(), 0);
+    }
+
+    @Test
+    public void should_refuse_a_malformed_change_and_show_it() {
+        carryOut(mSpread.receive(news(1)));
+        SpreadMessage malformed =
+                new SpreadMessage.Changes(
+                        PEER, 2, SpreadMessage.NO_ID, ORIGIN, false, List.of(new byte[] {1}));
+        assertTrue(has(mSpread.receive(malformed), SpreadAction.Refused.class));
+        assertEquals(mHolder.current().revision(), 1);
+        assertTrue(mSpread.status().lastRefusal().contains("mona-2: byte"));
+    }
+
+    @Test
+    public void should_refuse_a_change_of_another_history() {
+        carryOut(mSpread.receive(news(1)));
+        SpreadMessage other =
+                new SpreadMessage.Changes(
+                        PEER,
+                        2,
+                        new UUID(8, 8),
+                        ORIGIN,
+                        false,
+                        List.of(ConfigurationChangeCodec.encode(change(2))));
+        assertTrue(has(mSpread.receive(other), SpreadAction.Refused.class));
+        assertEquals(mHolder.current().revision(), 1);
+    }
+
+    @Test
+    public void should_refuse_a_snapshot_below_the_announced_revision() {
+        carryOut(mSpread.receive(news(1)));
+        mClock.advance(Duration.ofSeconds(3));
+        mSpread.tick();
+        mSpread.receive(new SpreadMessage.Digest(PEER, 50, SpreadMessage.NO_ID, 41, 0, false));
+        byte[] part = SnapshotCodec.encodeForPeers(mHolder.current().apply(change(2))).get(0);
+        List<SpreadAction> actions =
+                mSpread.receive(new SpreadMessage.SnapshotPart(PEER, 2, 0, 1, part));
+        assertTrue(has(actions, SpreadAction.Refused.class));
+        assertFalse(has(actions, SpreadAction.ApplySnapshot.class));
+    }
+
+    @Test
+    public void should_not_count_itself_as_watcher_after_a_pause() {
+        mClock.advance(Duration.ofSeconds(3));
+        assertTrue(has(mSpread.tick(), SpreadAction.ListSlots.class));
+        assertTrue(has(mSpread.slotsListed(Optional.of(Set.of())), SpreadAction.ClaimSlot.class));
+        WatcherSlots.Claim held = new WatcherSlots.Claim.Held(5);
+        assertTrue(has(mSpread.slotClaimed(0, held), SpreadAction.StartWatching.class));
+        assertTrue(mSpread.status().watching());
+        mClock.advance(WatcherElection.LEASE);
+        assertFalse(mSpread.status().watching());
+        // A renewal that was on its way before the pause does not count either.
+        List<SpreadAction> actions =
+                new ArrayList<>(mSpread.leaseRenewed(5, WatcherSlots.Renewal.RENEWED));
+        assertTrue(has(actions, SpreadAction.StopWatching.class));
+        assertFalse(mSpread.status().watching());
+    }
+
+    @Test
+    public void should_not_call_the_store_while_all_slots_are_taken_and_polled_recently() {
+        mClock.advance(Duration.ofSeconds(3));
+        mSpread.tick();
+        mSpread.slotsListed(Optional.of(Set.of(0, 1, 2)));
+        for (int tick = 0; tick < 20; tick++) {
+            mClock.advance(ConfigurationSpread.TICK_INTERVAL);
+            assertFalse(has(mSpread.tick(), SpreadAction.ListSlots.class));
+        }
+    }
+}
