--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationPlugin.java
@@ -20,13 +20,15 @@
 import org.arbutuslock.internal.configuration.ConfigurationLog;
 import org.arbutuslock.internal.settings.NodeSettings;
 
-/** Provides the configuration in force and the log of changes in the platform's store. */
+/**
+ * Provides the configuration in force and the log of changes in the platform's store. {@link
+ * ConfigurationSpreadPlugin} keeps the configuration up to date.
+ */
 public final class ConfigurationPlugin implements Plugin {
     /** Name of this plug-in. */
     public static final String NAME = "configuration";
 
     private MonitoredStore mStore;
-    private AutoCloseable mFollower;
 
     /** Creates the plug-in; called by the service loader. */
     public ConfigurationPlugin() {}
@@ -63,7 +65,6 @@
                         (delay, task) ->
                                 eventLoop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS),
                         jitter);
-        mFollower = log.follow();
         context.provide(PlatformStore.class, mStore);
         context.provide(MonitoredStore.class, mStore);
         context.provide(ConfigurationHolder.class, holder);
@@ -83,12 +84,6 @@
 
     @Override
     public void stop() {
-        try {
-            mFollower.close();
-        } catch (Exception failed) {
-            throw new IllegalStateException("the follower of the log did not close", failed);
-        } finally {
-            mStore.close();
-        }
+        mStore.close();
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/store/MonitoredStore.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/store/MonitoredStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.Failure;
@@ -21,12 +22,18 @@
  * }</pre>
  */
 public final class MonitoredStore implements PlatformStore {
+    /** A node that does not watch the store learns its state by a read when somebody asks. */
+    private static final long CHECK_NANOS = Duration.ofSeconds(5).toNanos();
+
+    private static final String CHECKED_KEY = "configuration/snapshot-head";
+
     private final PlatformStore mStore;
     private final Clock mClock;
     private final LongAdder mCalls = new LongAdder();
     private final LongAdder mFailures = new LongAdder();
     private final LongAdder mUnknownWrites = new LongAdder();
     private volatile long mLastSuccessNanos;
+    private final AtomicLong mCheckedNanos = new AtomicLong();
     private volatile String mFailure = "not called yet";
 
     /**
@@ -39,6 +46,7 @@
         mStore = store;
         mClock = clock;
         mLastSuccessNanos = clock.nanoTime();
+        mCheckedNanos.set(clock.nanoTime() - CHECK_NANOS);
     }
 
     /**
@@ -51,11 +59,13 @@
     public record Health(boolean reachable, String reason, Duration sinceSuccess) {}
 
     /**
-     * Returns the state.
+     * Returns the state. Without a response in the last 5 s this starts a read, whose result the
+     * next call of this method shows.
      *
      * @return state after the newest call
      */
     public Health health() {
+        checkIfUnused();
         String failure = mFailure;
         return new Health(
                 failure.isEmpty(),
@@ -63,6 +73,15 @@
                 Duration.ofNanos(Math.max(0, mClock.nanoTime() - mLastSuccessNanos)));
     }
 
+    private void checkIfUnused() {
+        long now = mClock.nanoTime();
+        long checked = mCheckedNanos.get();
+        boolean fresh = mFailure.isEmpty() && now - mLastSuccessNanos < CHECK_NANOS;
+        if (!fresh && now - checked >= CHECK_NANOS && mCheckedNanos.compareAndSet(checked, now)) {
+            read(CHECKED_KEY);
+        }
+    }
+
     /**
      * Returns the number of calls.
      *
