Check the spread by seeded histories

Cause: the spread has to hold under faults that single tests do not combine.

It checks that every live node has all accepted changes, without the store and after it returns, that no node's revision decreases, that the order is the same everywhere, and that every zone has a watcher in the end.

--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/configuration/spread/SpreadNode.java
@@ -0,0 +1,190 @@
+package org.arbutuslock.internal.configuration.spread;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.UUID;
+import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.internal.configuration.Configuration;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.configuration.ConfigurationLog;
+import org.arbutuslock.internal.membership.FleetSnapshot;
+import org.arbutuslock.internal.membership.NodeRecord;
+import org.arbutuslock.internal.messages.MessageFormatException;
+import org.arbutuslock.internal.testing.SimulatedTimer;
+
+/** One simulated node. Its revision must not decrease until it restarts. */
+final class SpreadNode {
+    private final SpreadHistory mHistory;
+    private final NodeIdentity mIdentity;
+    private final SimulatedTimer mTimer;
+    private final PlatformStore mStore;
+    private final Random mRandom;
+    private final List<Runnable> mHeldBack = new ArrayList<>();
+    private ConfigurationHolder mHolder;
+    private ConfigurationLog mLog;
+    private SpreadRunner mRunner;
+    private boolean mPaused;
+    private boolean mAlive;
+    private int mRun;
+    private long mHighestRevision;
+
+    SpreadNode(
+            SpreadHistory history,
+            NodeIdentity identity,
+            SimulatedTimer timer,
+            PlatformStore store,
+            Random random) {
+        mHistory = history;
+        mIdentity = identity;
+        mTimer = timer;
+        mStore = store;
+        mRandom = random;
+    }
+
+    void start(FleetSnapshot fleet) {
+        mAlive = true;
+        mPaused = false;
+        mHeldBack.clear();
+        int run = ++mRun;
+        mHighestRevision = 0;
+        mHolder = new ConfigurationHolder();
+        mLog = new ConfigurationLog(mStore, mHolder, mTimer.clock(), mTimer, mRandom);
+        ConfigurationSpread spread =
+                new ConfigurationSpread(
+                        mIdentity, () -> mHolder.current(), mTimer.clock(), mRandom);
+        mRunner =
+                new SpreadRunner(
+                        spread,
+                        mHolder,
+                        mLog,
+                        new WatcherSlots(mStore, mIdentity.zone(), mIdentity.node()),
+                        (address, payload) -> mHistory.transmit(this, address, payload),
+                        task -> mTimer.runAfter(Duration.ZERO, () -> run(run, task)));
+        mRunner.start();
+        mRunner.updateFleet(fleet);
+        tickLater(run);
+    }
+
+    /** A paused process does nothing and then everything at once. */
+    private void run(int run, Runnable task) {
+        if (run != mRun) {
+            return;
+        }
+        if (mPaused) {
+            mHeldBack.add(task);
+        } else {
+            task.run();
+            checkRevision();
+        }
+    }
+
+    private void tickLater(int run) {
+        mTimer.runAfter(
+                ConfigurationSpread.TICK_INTERVAL,
+                () -> {
+                    if (mAlive && run == mRun) {
+                        if (!mPaused) {
+                            mRunner.tick();
+                        }
+                        tickLater(run);
+                    }
+                });
+    }
+
+    void kill() {
+        mRunner.stop();
+        mAlive = false;
+    }
+
+    void pause() {
+        mPaused = true;
+    }
+
+    void resume() {
+        mPaused = false;
+        List<Runnable> heldBack = List.copyOf(mHeldBack);
+        mHeldBack.clear();
+        heldBack.forEach(task -> run(mRun, task));
+    }
+
+    void receive(String sender, byte[] payload) {
+        if (mAlive) {
+            try {
+                mRunner.receive(sender, payload);
+            } catch (MessageFormatException impossible) {
+                throw new AssertionError(impossible);
+            }
+        }
+    }
+
+    void updateFleet(FleetSnapshot fleet) {
+        mRunner.updateFleet(fleet);
+    }
+
+    /** Planted fault: what is in force is replaced by something older. */
+    void forgetConfiguration() {
+        mHolder = new ConfigurationHolder();
+        checkRevision();
+    }
+
+    private void checkRevision() {
+        long revision = revision();
+        assertTrue(
+                revision >= mHighestRevision,
+                "revision went down from " + mHighestRevision + " to " + revision);
+        mHighestRevision = revision;
+    }
+
+    void checkOrder(List<UUID> accepted) {
+        Configuration current = mHolder.current();
+        assertTrue(current.revision() <= accepted.size(), "revision that nobody accepted");
+        for (long revision = 1; revision <= current.revision(); revision++) {
+            assertEquals(
+                    current.changeIdOf(revision).orElseThrow(),
+                    accepted.get((int) revision - 1),
+                    "order of " + revision);
+        }
+    }
+
+    long revision() {
+        return mHolder.current().revision();
+    }
+
+    ConfigurationLog log() {
+        return mLog;
+    }
+
+    SpreadStatus status() {
+        return mRunner.status();
+    }
+
+    NodeIdentity identity() {
+        return mIdentity;
+    }
+
+    boolean isRunning() {
+        return mAlive && !mPaused;
+    }
+
+    boolean isAlive() {
+        return mAlive;
+    }
+
+    NodeRecord toRecord() {
+        return new NodeRecord(
+                mIdentity.node(),
+                mRun,
+                1,
+                mIdentity.address(),
+                mIdentity.region(),
+                mIdentity.zone(),
+                0,
+                false,
+                List.of());
+    }
+}
