--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/ConfigurationSpread.java
@@ -0,0 +1,496 @@
+package org.arbutuslock.internal.configuration.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.arbutuslock.api.Clock;
+import org.arbutuslock.internal.configuration.Configuration;
+import org.arbutuslock.internal.configuration.ConfigurationChange;
+import org.arbutuslock.internal.configuration.ConfigurationChangeCodec;
+import org.arbutuslock.internal.configuration.MalformedConfigurationException;
+import org.arbutuslock.internal.membership.FleetSnapshot;
+
+/**
+ * Spreads configuration changes between the nodes of a fleet, of which a few watch the store. Takes
+ * inputs and returns actions in order; not for use by several threads at once.
+ *
+ * <pre>{@code
+ * ConfigurationSpread spread = new ConfigurationSpread(identity, holder::current, clock, random);
+ * carryOut(spread.tick()); // every TICK_INTERVAL
+ * carryOut(spread.receive(SpreadMessageCodec.decode(payload)));
+ * }</pre>
+ */
+public final class ConfigurationSpread {
+    /** Time between ticks. */
+    public static final Duration TICK_INTERVAL = Duration.ofMillis(100);
+
+    /** Changes after which a watcher writes a snapshot; half an hour at 0.5 changes a second. */
+    public static final long CHANGES_PER_SNAPSHOT = 1_000;
+
+    private static final long DIGEST_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** Longer than a round trip between regions, so that a request is seldom repeated in vain. */
+    private static final long PULL_NANOS = Duration.ofMillis(150).toNanos();
+
+    /** Without a watcher in the zone for so long, nodes that are no candidates try, too. */
+    private static final long UNWATCHED_NANOS = Duration.ofSeconds(30).toNanos();
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final String LOCAL = "";
+
+    /** Ticks after which the revision in force is taken over without its changes. */
+    private static final int LATE_TICKS = 5;
+
+    private final NodeIdentity mSelf;
+    private final Supplier<Configuration> mCurrent;
+    private final Clock mClock;
+    private final RandomGenerator mRandom;
+    private final SpreadPeers mPeers;
+    private final NewsPush mNews;
+    private final RecentLog mLog = new RecentLog();
+    private final WaitingChanges mWaiting = new WaitingChanges();
+    private final SnapshotExchange mSnapshots;
+    private final CompactionPlan mCompaction;
+    private final NeighborCheck mNeighbors = new NeighborCheck();
+    private final PeerChecks mChecks = new PeerChecks();
+    private final WatcherElection mElection;
+    private final StartQuery mStart;
+    private List<SpreadAction> mActions = new ArrayList<>();
+    private long mNextDigestNanos;
+    private long mPulledNanos;
+    private long mWatcherHeardNanos;
+    private int mLateTicks;
+
+    /**
+     * Creates the spread of a node that has just started.
+     *
+     * @param self name and place of the node
+     * @param current returns the configuration in force
+     * @param clock time of the node
+     * @param random choices of peers and jitter
+     */
+    public ConfigurationSpread(
+            NodeIdentity self,
+            Supplier<Configuration> current,
+            Clock clock,
+            RandomGenerator random) {
+        long now = clock.nanoTime();
+        mSelf = self;
+        mCurrent = current;
+        mClock = clock;
+        mRandom = random;
+        mPeers = new SpreadPeers(self, random);
+        mNews = new NewsPush(self, mPeers);
+        mSnapshots = new SnapshotExchange(self.sender(), new SnapshotOutput());
+        mCompaction = new CompactionPlan(random);
+        mElection = new WatcherElection(random, now);
+        mStart = new StartQuery(now);
+        mNextDigestNanos = now + random.nextLong(DIGEST_NANOS);
+        mPulledNanos = now - PULL_NANOS;
+        mWatcherHeardNanos = now;
+        mLog.resetTo(current.get().revision());
+    }
+
+    /**
+     * Does what is due. Call every {@link #TICK_INTERVAL}.
+     *
+     * @return actions
+     */
+    public List<SpreadAction> tick() {
+        long now = begin();
+        mPeers.tick(now);
+        queryAtStart(now);
+        followHolder();
+        sendDigest(now);
+        send(mNeighbors.due(mPeers.neighbors(), now), digest(true));
+        mSnapshots.tick(now);
+        if (mElection.isWatching(now)) {
+            mWatcherHeardNanos = now;
+            if (mCompaction.isDue(mLog.revision(), now)) {
+                mActions.add(new SpreadAction.Compact());
+            }
+        }
+        mElection.tick(mStart.isDone() && isCandidate(now), now, mActions);
+        return end();
+    }
+
+    /**
+     * Takes over another view of the fleet.
+     *
+     * @param fleet the view
+     * @return actions
+     */
+    public List<SpreadAction> updateFleet(FleetSnapshot fleet) {
+        mPeers.update(fleet, begin());
+        return end();
+    }
+
+    /**
+     * Handles a change that was applied here, from the store or by a submission.
+     *
+     * @param change the change
+     * @return actions
+     */
+    public List<SpreadAction> applied(ConfigurationChange change) {
+        begin();
+        if (change.revision() > mLog.revision()) {
+            mWaiting.add(new WaitingChanges.Entry(LOCAL, change, mSelf.origin()));
+            applyWaiting();
+        }
+        return end();
+    }
+
+    /**
+     * Handles a snapshot that was applied here.
+     *
+     * @param configuration the snapshot
+     * @return actions
+     */
+    public List<SpreadAction> applied(Configuration configuration) {
+        begin();
+        if (configuration.revision() > mLog.revision()) {
+            mLog.resetTo(configuration.revision());
+            applyWaiting();
+        }
+        return end();
+    }
+
+    /**
+     * Handles the refusal of a change or snapshot that an action named.
+     *
+     * @param peer node that sent it
+     * @param reason why it cannot be applied
+     * @return actions
+     */
+    public List<SpreadAction> refused(String peer, String reason) {
+        begin();
+        mLog.resetTo(mCurrent.get().revision());
+        mWaiting.clear();
+        refuse(peer, reason);
+        return end();
+    }
+
+    /**
+     * Handles a message that cannot be decoded.
+     *
+     * @param peer node that sent it
+     * @param reason position, field, value read and allowed values
+     * @return actions
+     */
+    public List<SpreadAction> malformed(String peer, String reason) {
+        begin();
+        refuse(peer, reason);
+        return end();
+    }
+
+    /**
+     * Handles a message.
+     *
+     * @param message the message
+     * @return actions
+     */
+    public List<SpreadAction> receive(SpreadMessage message) {
+        long now = begin();
+        if (message.sender().node().equals(mSelf.node())) {
+            return end();
+        }
+        switch (message) {
+            case SpreadMessage.Digest digest -> receiveDigest(digest, now);
+            case SpreadMessage.Changes changes -> receiveChanges(changes, now);
+            case SpreadMessage.ChangesRequest request -> sendChanges(request);
+            case SpreadMessage.SnapshotRequest request ->
+                    mSnapshots.serve(request, mCurrent.get(), mLog.firstHeld(), now);
+            case SpreadMessage.SnapshotPart part -> mSnapshots.receive(part, mLog.revision(), now);
+        }
+        return end();
+    }
+
+    /**
+     * Handles the end of {@link SpreadAction.ListSlots}.
+     *
+     * @param taken versions of the keys of taken slots, or empty when the store did not respond
+     * @return actions
+     */
+    public List<SpreadAction> slotsListed(Optional<Map<Integer, Long>> taken) {
+        long now = begin();
+        mElection.slotsListed(taken, isUnwatched(now), now, mActions);
+        return end();
+    }
+
+    /**
+     * Handles the end of {@link SpreadAction.ClaimSlot}.
+     *
+     * @param slot number of the slot
+     * @param claim outcome
+     * @return actions
+     */
+    public List<SpreadAction> slotClaimed(int slot, WatcherSlots.Claim claim) {
+        mElection.slotClaimed(slot, claim, begin(), mActions);
+        return end();
+    }
+
+    /**
+     * Handles the end of {@link SpreadAction.RenewLease}.
+     *
+     * @param lease number of the lease
+     * @param renewal outcome
+     * @return actions
+     */
+    public List<SpreadAction> leaseRenewed(long lease, WatcherSlots.Renewal renewal) {
+        mElection.leaseRenewed(lease, renewal, begin(), mActions);
+        return end();
+    }
+
+    /**
+     * Returns the state for operators.
+     *
+     * @return state at this moment
+     */
+    public SpreadStatus status() {
+        return new SpreadStatus(
+                mLog.revision(),
+                mElection.isWatching(mClock.nanoTime()),
+                mWaiting.count(),
+                mSnapshots.downloadingRevision(),
+                mChecks.refusals(),
+                mChecks.lastRefusal());
+    }
+
+    /** A lease can have lapsed during a pause, so that it is checked before anything else. */
+    private long begin() {
+        long now = mClock.nanoTime();
+        mElection.checkLease(now, mActions);
+        return now;
+    }
+
+    private List<SpreadAction> end() {
+        mNews.flush(this::idOf, digest(false), this::send);
+        List<SpreadAction> actions = mActions;
+        mActions = new ArrayList<>();
+        return actions;
+    }
+
+    private void queryAtStart(long now) {
+        if (mStart.isDone()) {
+            return;
+        }
+        int wanted = mPeers.isAlone() ? 0 : mStart.peersToAsk(now);
+        if (wanted > 0) {
+            List<String> contacts = mPeers.firstContacts(wanted);
+            mStart.asked(contacts.size());
+            send(contacts, digest(true));
+        }
+        finishStart(now);
+    }
+
+    private void finishStart(long now) {
+        if (mStart.finishIfDue(now)) {
+            mStart.highest().ifPresent(digest -> catchUpWith(digest, now));
+        }
+    }
+
+    /** The holder can be ahead for good when a change was dropped from the waiting ones. */
+    private void followHolder() {
+        long inForce = mCurrent.get().revision();
+        mLateTicks = inForce > mLog.revision() ? mLateTicks + 1 : 0;
+        if (mLateTicks > LATE_TICKS) {
+            mLog.resetTo(inForce);
+            applyWaiting();
+        }
+    }
+
+    private void sendDigest(long now) {
+        if (now - mNextDigestNanos >= 0) {
+            // A process that was paused does not make up for the digests that it missed.
+            mNextDigestNanos = now + DIGEST_NANOS;
+            mPeers.partner().ifPresent(address -> send(List.of(address), digest(true)));
+        }
+    }
+
+    /** The chance keeps the store's load low when nobody in a zone can reach it. */
+    private boolean isCandidate(long now) {
+        return mPeers.isCandidate()
+                || isUnwatched(now)
+                        && mRandom.nextInt(mPeers.zoneSize() * WatcherElection.SLOTS) == 0;
+    }
+
+    private boolean isUnwatched(long now) {
+        return now - mWatcherHeardNanos > UNWATCHED_NANOS;
+    }
+
+    private void receiveDigest(SpreadMessage.Digest digest, long now) {
+        mNeighbors.confirm(digest.sender().node(), digest.revision());
+        if (mPeers.isOfOwnZone(digest.sender().node())) {
+            long heard = now - digest.watcherAgeMillis() * NANOS_PER_MILLI;
+            mWatcherHeardNanos = Math.max(mWatcherHeardNanos, heard);
+        }
+        if (digest.replyWanted()) {
+            reply(digest);
+        }
+        if (mStart.isDone()) {
+            catchUpWith(digest, now);
+        } else {
+            mStart.record(digest);
+            finishStart(now);
+        }
+    }
+
+    /** A peer that lags behind gets the changes at once, unless it has only just started. */
+    private void reply(SpreadMessage.Digest digest) {
+        if (digest.revision() > 0 && mLog.holdsAfter(digest.revision())) {
+            sendChanges(
+                    new SpreadMessage.ChangesRequest(
+                            digest.sender(), digest.revision(), digest.headId()));
+        } else {
+            send(digest.sender(), digest(false));
+        }
+    }
+
+    private void catchUpWith(SpreadMessage.Digest digest, long now) {
+        if (digest.revision() <= mLog.revision()) {
+            requireSameHistory(digest.sender().node(), digest.revision(), digest.headId());
+        } else if (mLog.revision() >= digest.firstHeld() - 1) {
+            pull(digest.sender(), now);
+        } else {
+            mSnapshots.download(digest.sender(), digest.firstHeld() - 1, now);
+        }
+    }
+
+    private void pull(SpreadMessage.Sender peer, long now) {
+        if (now - mPulledNanos >= PULL_NANOS) {
+            mPulledNanos = now;
+            send(
+                    peer,
+                    new SpreadMessage.ChangesRequest(
+                            mSelf.sender(), mLog.revision(), idOf(mLog.revision())));
+        }
+    }
+
+    private void receiveChanges(SpreadMessage.Changes message, long now) {
+        String peer = message.sender().node();
+        mNeighbors.confirm(peer, message.revision());
+        SpreadMessage.Origin origin = message.repair() ? NewsPush.NO_ORIGIN : message.origin();
+        UUID baseId = message.baseId();
+        try {
+            for (byte[] encoded : message.changes()) {
+                ConfigurationChange change = ConfigurationChangeCodec.decode(encoded);
+                if (!requireSameHistory(peer, change.baseRevision(), baseId)) {
+                    return;
+                }
+                baseId = change.changeId();
+                accept(peer, change, origin);
+            }
+        } catch (MalformedConfigurationException malformed) {
+            refuse(peer, malformed.getMessage());
+            return;
+        }
+        if (message.repair()) {
+            mPulledNanos = now - PULL_NANOS;
+        }
+        if (mLog.revision() < message.revision()) {
+            pull(message.sender(), now);
+        }
+    }
+
+    private void accept(String peer, ConfigurationChange change, SpreadMessage.Origin origin) {
+        if (change.revision() <= mLog.revision()) {
+            requireSameHistory(peer, change.revision(), change.changeId());
+            return;
+        }
+        mWaiting.add(new WaitingChanges.Entry(peer, change, origin));
+        applyWaiting();
+    }
+
+    private void applyWaiting() {
+        long before = mLog.revision();
+        WaitingChanges.Entry entry = mWaiting.take(mLog.revision() + 1);
+        while (entry != null) {
+            ConfigurationChange change = entry.change();
+            byte[] encoded = mLog.append(change);
+            if (!entry.peer().equals(LOCAL)) {
+                mActions.add(new SpreadAction.ApplyChange(entry.peer(), change));
+            }
+            mNews.add(change.revision(), encoded, entry.origin(), entry.peer());
+            entry = mWaiting.take(mLog.revision() + 1);
+        }
+        if (mLog.revision() > before) {
+            mNeighbors.check(mLog.revision(), mClock.nanoTime());
+        }
+    }
+
+    private void sendChanges(SpreadMessage.ChangesRequest request) {
+        if (!requireSameHistory(request.sender().node(), request.after(), request.headId())) {
+            return;
+        }
+        if (mLog.holdsAfter(request.after())) {
+            send(
+                    request.sender(),
+                    new SpreadMessage.Changes(
+                            mSelf.sender(),
+                            mLog.revision(),
+                            idOf(request.after()),
+                            NewsPush.NO_ORIGIN,
+                            true,
+                            mLog.after(request.after())));
+        } else if (request.after() < mLog.revision()) {
+            send(request.sender(), digest(false));
+        }
+    }
+
+    private boolean requireSameHistory(String peer, long revision, UUID received) {
+        return mChecks.requireSameHistory(peer, revision, received, idOf(revision), mActions);
+    }
+
+    private void refuse(String peer, String reason) {
+        mChecks.refuse(peer, reason, mActions);
+    }
+
+    private UUID idOf(long revision) {
+        return mCurrent.get().changeIdOf(revision).orElse(SpreadMessage.NO_ID);
+    }
+
+    private SpreadMessage.Digest digest(boolean replyWanted) {
+        long age = Math.max(0, mClock.nanoTime() - mWatcherHeardNanos) / NANOS_PER_MILLI;
+        return new SpreadMessage.Digest(
+                mSelf.sender(),
+                mLog.revision(),
+                idOf(mLog.revision()),
+                mLog.firstHeld(),
+                age,
+                replyWanted);
+    }
+
+    private void send(SpreadMessage.Sender peer, SpreadMessage message) {
+        send(List.of(peer.address()), message);
+    }
+
+    private void send(List<String> addresses, SpreadMessage message) {
+        if (addresses.isEmpty()) {
+            return;
+        }
+        byte[] payload = SpreadMessageCodec.encode(message);
+        addresses.forEach(address -> mActions.add(new SpreadAction.Send(address, payload)));
+    }
+
+    private final class SnapshotOutput implements SnapshotExchange.Output {
+        @Override
+        public void send(SpreadMessage.Sender peer, SpreadMessage message) {
+            ConfigurationSpread.this.send(peer, message);
+        }
+
+        @Override
+        public void refuse(String peer, String reason) {
+            ConfigurationSpread.this.refuse(peer, reason);
+        }
+
+        @Override
+        public void apply(String peer, Configuration configuration) {
+            mActions.add(new SpreadAction.ApplySnapshot(peer, configuration));
+        }
+    }
+}
