Run all benchmarks with one command and report bounds and plots

Cause: each benchmark had a command line, an output format and an exit code of its own, and no report said under which conditions it had been measured.

Change: bin/bench runs benchmarks by name behind the interface Benchmark, writes text, JSON and SVG plots, and exits with 1 past a bound and 2 on wrong options. A benchmark that throws is reported as failed and does not end the others.

--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/AdmissionBench.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/AdmissionBench.java
@@ -18,13 +18,42 @@
  * java -cp ... org.arbutuslock.testbed.bench.AdmissionBench --seed 7 --runs 5 --format json
  * }</pre>
  */
-public final class AdmissionBench {
+public final class AdmissionBench implements Benchmark {
     private static final int[] SLOTS = {5, 3};
     private static final int EXIT_MISSED_BOUND = 1;
     private static final int EXIT_WRONG_OPTIONS = 2;
     private static final int MAXIMUM_RUNS = 1_000;
+    private static final int RUNS = 5;
 
-    private AdmissionBench() {}
+    AdmissionBench() {}
+
+    @Override
+    public String name() {
+        return "admission";
+    }
+
+    @Override
+    public String description() {
+        return "Work, refusals and recovery of one overloaded backend server, simulated";
+    }
+
+    @Override
+    public BenchReport run(BenchOptions options) {
+        BenchReport report = new BenchReport(name(), options.seed());
+        List<AdmissionMeasures> all = measureAll(options.seed(), options.choose(1, RUNS));
+        BenchPlot plot = report.plot("work in time", "load, multiple of capacity", "of capacity");
+        for (AdmissionMeasures measures : all) {
+            if (measures.policy().equals("controlled")) {
+                measures.addTo(report);
+            }
+            String series =
+                    measures.policy() + ", " + measures.slots() + " slots, " + measures.seed();
+            plot.point(series, 2, measures.workAtTwice());
+            plot.point(series, 4, measures.workAtFourTimes());
+        }
+        report.detail("runs", all);
+        return report;
+    }
 
     /**
      * Runs the simulation.
@@ -66,7 +95,7 @@
         parser.addArgument("--runs")
                 .type(Integer.class)
                 .choices(net.sourceforge.argparse4j.impl.Arguments.range(1, MAXIMUM_RUNS))
-                .setDefault(5)
+                .setDefault(RUNS)
                 .help("runs with successive seeds");
         parser.addArgument("--format").choices("text", "json").setDefault("text");
         return parser;
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/AdmissionMeasures.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/AdmissionMeasures.java
@@ -122,6 +122,19 @@
                 && shortRatio() <= MOST_SHORT_RATIO;
     }
 
+    /** Adds the figures with their bounds. */
+    void addTo(BenchReport report) {
+        String name = slots + " slots, seed " + seed + ": ";
+        report.atLeast(name + "work in time at 2x", workAtTwice, LEAST_WORK, "of capacity");
+        report.atLeast(name + "work in time at 4x", workAtFourTimes, LEAST_WORK, "of capacity");
+        report.atMost(name + "latest refusal", refusalMaximumMillis, MOST_REFUSAL_MILLIS, "ms");
+        // A load that never recovers has no time; -1 would meet the bound.
+        double recovery = recoveryMillis < 0 ? Double.POSITIVE_INFINITY : recoveryMillis;
+        report.atMost(name + "recovery", recovery, MOST_RECOVERY_MILLIS, "ms");
+        report.atMost(
+                name + "short p99 beside downloads", shortRatio(), MOST_SHORT_RATIO, "x alone");
+    }
+
     String describe() {
         return String.format(
                 "%-18s slots=%d seed=%d work at 2x=%.1f%% 4x=%.1f%% refusal max=%.1f ms"
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/BenchReport.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/BenchReport.java
@@ -5,38 +5,64 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 
-/** Figures of one run of a benchmark and the bounds that some of them must meet. */
+/** Figures of one run of a benchmark, the bounds that some of them must meet, and plots. */
 final class BenchReport {
     private final String mName;
     private final long mSeed;
-    private final List<Figure> mFigures = new ArrayList<>();
+    private final List<BenchRow> mRows = new ArrayList<>();
+    private final List<BenchPlot> mPlots = new ArrayList<>();
     private final Map<String, Object> mDetails = new LinkedHashMap<>();
 
-    private record Figure(String name, double value, String unit, String bound, boolean met) {}
-
     BenchReport(String name, long seed) {
         mName = name;
         mSeed = seed;
     }
 
+    String name() {
+        return mName;
+    }
+
+    List<BenchRow> rows() {
+        return mRows;
+    }
+
+    List<BenchPlot> plots() {
+        return mPlots;
+    }
+
     /** Tells people at the terminal how far the run is. */
     void progress(String text) {
         System.err.println(mName + ": " + text);
     }
 
     void figure(String name, double value, String unit) {
-        mFigures.add(new Figure(name, value, unit, "", true));
+        mRows.add(new BenchRow(name, value, unit, "", true));
     }
 
     void atMost(String name, double value, double bound, String unit) {
-        mFigures.add(new Figure(name, value, unit, "at most " + bound, value <= bound));
+        mRows.add(new BenchRow(name, value, unit, "at most " + bound, value <= bound));
     }
 
     void atLeast(String name, double value, double bound, String unit) {
-        mFigures.add(new Figure(name, value, unit, "at least " + bound, value >= bound));
+        mRows.add(new BenchRow(name, value, unit, "at least " + bound, value >= bound));
+    }
+
+    void below(String name, double value, double bound, String unit) {
+        mRows.add(new BenchRow(name, value, unit, "below " + bound, value < bound));
+    }
+
+    /** Adds a row that reports a failed run. */
+    void failure(String reason) {
+        mRows.add(new BenchRow(reason, Double.NaN, "", "must complete", false));
+    }
+
+    /** Adds an empty plot; the title names its file too. */
+    BenchPlot plot(String title, String horizontal, String vertical) {
+        BenchPlot plot = new BenchPlot(title, horizontal, vertical);
+        mPlots.add(plot);
+        return plot;
     }
 
     /** Adds what only the report for programs holds. */
@@ -44,34 +70,29 @@
         mDetails.put(name, value);
     }
 
+    /** Returns whether all bounds are met; a report without figures shows nothing and fails. */
     boolean meetsBounds() {
-        return !mFigures.isEmpty() && mFigures.stream().allMatch(Figure::met);
+        return !mRows.isEmpty() && mRows.stream().allMatch(BenchRow::passed);
     }
 
     String toText() {
         StringBuilder text = new StringBuilder();
         text.append(mName).append(" seed ").append(mSeed).append('\n');
-        for (Figure figure : mFigures) {
-            text.append(
-                    String.format(
-                            Locale.ROOT,
-                            "  %-58s %12.3f %-10s %-18s %s%n",
-                            figure.name(),
-                            figure.value(),
-                            figure.unit(),
-                            figure.bound(),
-                            figure.bound().isEmpty() ? "" : figure.met() ? "met" : "MISSED"));
-        }
+        mRows.forEach(row -> text.append(row.toText()));
         return text.append(meetsBounds() ? "all bounds met" : "a bound was missed").toString();
     }
 
-    String toJson() throws JsonProcessingException {
+    Map<String, Object> toFields() {
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("bench", mName);
         fields.put("seed", mSeed);
         fields.put("boundsMet", meetsBounds());
-        fields.put("figures", mFigures);
+        fields.put("figures", mRows);
         fields.putAll(mDetails);
-        return new ObjectMapper().writeValueAsString(fields);
+        return fields;
+    }
+
+    String toJson() throws JsonProcessingException {
+        return new ObjectMapper().writeValueAsString(toFields());
     }
 }
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/BenchRunner.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/BenchRunner.java
@@ -14,7 +14,7 @@
     static final int EXIT_MISSED_BOUND = 1;
     static final int EXIT_WRONG_OPTIONS = 2;
 
-    private static final long FIRST_SEED = 20_261_204L;
+    static final long FIRST_SEED = 20_261_204L;
 
     private BenchRunner() {}
 
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/ConfigurationSizeBench.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/ConfigurationSizeBench.java
@@ -1,13 +1,9 @@
 package org.arbutuslock.testbed.bench;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.SerializationFeature;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.function.IntConsumer;
@@ -35,7 +31,7 @@
  *     org.arbutuslock.testbed.bench.ConfigurationSizeBench
  * }</pre>
  */
-public final class ConfigurationSizeBench {
+public final class ConfigurationSizeBench implements Benchmark {
     private static final int[] ROUTES = {700, 7_000, 70_000};
     private static final int[] TENANTS = {9_100, 91_000, 910_000};
     private static final int[] MATCHED_ROUTES = {70, 7_000, 70_000};
@@ -51,34 +47,47 @@
     private static final double NANOS_PER_MILLI = 1e6;
     private static final long SUBMIT_NANOS = 1_000_000_000L;
 
-    private final Map<String, Object> mFigures = new LinkedHashMap<>();
-    private final SplittableRandom mRandom = new SplittableRandom(1);
-    private boolean mFailed;
+    private SplittableRandom mRandom = new SplittableRandom(1);
+    private BenchReport mReport = new BenchReport("configuration-size", 1);
 
     /** Keeps matched routes observable, so that the compiler cannot remove the matching. */
     private long mPriorities;
 
-    private ConfigurationSizeBench() {}
+    ConfigurationSizeBench() {}
 
     private record Request(String method, String host, String path) {}
 
     /**
-     * Runs all measurements and prints each figure as text and all as JSON.
+     * Runs all measurements; exits 1 past a bound, 2 on wrong options.
      *
-     * @param arguments none
-     * @throws JsonProcessingException when the figures cannot be printed
-     * @throws MalformedConfigurationException when a snapshot cannot be read back
+     * @param arguments options of {@code bin/bench}
+     * @throws java.io.IOException when the report cannot be written
      */
-    public static void main(String[] arguments)
-            throws JsonProcessingException, MalformedConfigurationException {
-        ConfigurationSizeBench bench = new ConfigurationSizeBench();
-        bench.measureMemory();
-        bench.measureMatching();
-        bench.measureChangesAndSnapshots();
-        bench.measureStoreCalls();
-        ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
-        System.out.println(mapper.writeValueAsString(bench.mFigures));
-        System.exit(bench.mFailed ? 1 : 0);
+    public static void main(String[] arguments) throws java.io.IOException {
+        List<String> all = new ArrayList<>(List.of("configuration-size"));
+        all.addAll(List.of(arguments));
+        BenchMain.main(all.toArray(String[]::new));
+    }
+
+    @Override
+    public String name() {
+        return "configuration-size";
+    }
+
+    @Override
+    public String description() {
+        return "Memory, matching, changes and snapshots of configurations up to the design size";
+    }
+
+    @Override
+    public BenchReport run(BenchOptions options) throws MalformedConfigurationException {
+        mRandom = new SplittableRandom(options.seed());
+        mReport = new BenchReport(name(), options.seed());
+        measureMemory();
+        measureMatching();
+        measureChangesAndSnapshots();
+        measureStoreCalls();
+        return mReport;
     }
 
     private void measureMemory() {
@@ -92,6 +101,11 @@
                     heldBytes("held bytes of " + routes + " routes with services", routes, 0);
             tenantBytes[index] = heldBytes("held bytes of " + tenants + " tenants", 0, tenants);
         }
+        BenchPlot plot = mReport.plot("memory", "thousands of entities", "held bytes");
+        for (int index = 0; index < ROUTES.length; index++) {
+            plot.point("routes", ROUTES[index] / 1e3, routeBytes[index]);
+            plot.point("tenants", TENANTS[index] / 1e3, tenantBytes[index]);
+        }
         report("bytes per route", slope(routeBytes, ROUTES));
         report("bytes per tenant", slope(tenantBytes, TENANTS));
         long total =
@@ -244,14 +258,11 @@
     }
 
     private void report(String name, double value) {
-        mFigures.put(name, value);
-        System.out.printf("%-70s %,15.2f%n", name, value);
+        mReport.figure(name, value, "");
+        mReport.progress(String.format(Locale.ROOT, "%s: %.2f", name, value));
     }
 
     private void requireAtMost(String name, double value, double maximum) {
-        if (value > maximum) {
-            mFailed = true;
-            System.out.println("FAILED: " + name + " is " + value + ", allowed: " + maximum);
-        }
+        mReport.atMost("bound of " + name, value, maximum, "");
     }
 }
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/FaultHistoryBench.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/FaultHistoryBench.java
@@ -22,7 +22,7 @@
     private static final Duration INTERVAL = Duration.ofMillis(60);
     private static final int MAXIMUM_REQUESTS = 1_000_000;
 
-    private FaultHistoryBench() {}
+    FaultHistoryBench() {}
 
     /**
      * Runs the histories.
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/GossipBench.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/GossipBench.java
@@ -18,7 +18,7 @@
  * Measures the cost of membership for each node and extrapolates it to the design size. Exits 1
  * when a figure exceeds its bound, 2 on wrong options.
  */
-public final class GossipBench {
+public final class GossipBench implements Benchmark {
     private static final int EXIT_BOUND_EXCEEDED = 1;
     private static final int EXIT_USAGE = 2;
     private static final int[] NODES = {100, 300, 1_000};
@@ -26,8 +26,36 @@
     private static final double CHANGES_PER_SECOND = 0.5;
     private static final double RESTARTS_PER_SECOND = 0.2;
     private static final int WARM_UP_ENDPOINTS = 1_000;
+    private static final int SECONDS = 60;
 
-    private GossipBench() {}
+    GossipBench() {}
+
+    @Override
+    public String name() {
+        return "gossip";
+    }
+
+    @Override
+    public String description() {
+        return "Traffic, processor time and memory of membership, extrapolated to the design size";
+    }
+
+    @Override
+    public BenchReport run(BenchOptions options) throws MessageFormatException {
+        BenchReport report = new BenchReport(name(), options.seed());
+        GossipReport measured = measure(options.seed(), options.choose(10, SECONDS));
+        measured.checks()
+                .forEach(check -> report.atMost(check.name(), check.value(), check.bound(), ""));
+        BenchPlot traffic = report.plot("traffic", "nodes", "bytes per second of a node");
+        measured.steady()
+                .forEach(each -> traffic.point("steady", each.nodes(), each.bytesPerSecond()));
+        measured.changing()
+                .forEach(each -> traffic.point("changes", each.nodes(), each.bytesPerSecond()));
+        BenchPlot memory = report.plot("memory", "endpoints", "heap bytes");
+        measured.memory().forEach(each -> memory.point("heap", each.endpoints(), each.heapBytes()));
+        report.detail("measured", measured);
+        return report;
+    }
 
     /**
      * Measures and prints the figures.
@@ -62,7 +90,7 @@
         parser.addArgument("--seconds")
                 .type(Integer.class)
                 .choices(Arguments.range(1, 3_600))
-                .setDefault(60)
+                .setDefault(SECONDS)
                 .help("simulated time of each measurement of traffic");
         parser.addArgument("--format").choices("text", "json").setDefault("text").help("output");
         return parser;
