Know the group's failure rate before judging failures at thin traffic

Change: usual failure rate at least 3% in the first 30 s; mean of the group over two minutes instead of one; failures and stalls do not add up; sick score 11.3 + 1.25 ln(requests/s) instead of 12 + ln(requests/s).

--- a/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceJudge.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/detection/EvidenceJudge.java
@@ -16,6 +16,10 @@
     /** Slow requests come in groups more often than a random sequence has them. */
     private static final double SLOW_WEIGHT = 0.75;
 
+    /** For 30 s the mean of the group is not known well enough. */
+    private static final int FIRST_BUCKETS = 60;
+
+    private static final double FIRST_USUAL_FAILURE_RATE = 0.03;
     private static final double LOWEST_USUAL_FAILURE_RATE = 0.005;
 
     /** Lets three wrong responses among nine requests be enough at 1 request/s. */
@@ -28,8 +32,8 @@
     private static final double FAULTY_REFUSAL_RATE = 0.6;
     private static final double GROUP_MARGIN = 1.5;
 
-    /** Share of a new bucket in the mean of the group, which covers about a minute. */
-    private static final double GROUP_RATE_SHARE = 0.01;
+    /** Share of a new bucket in the mean of the group, which covers about two minutes. */
+    private static final double GROUP_RATE_SHARE = 0.004;
 
     /** A history of fewer requests would excuse slowness by chance. */
     private static final int FEWEST_PAST_SAMPLES = 200;
@@ -37,7 +41,10 @@
     private static final double HIGHEST_USUAL_RATE = 0.85;
 
     /** Sick above this score at 1 request/s. */
-    private static final double SICK_SCORE = 12;
+    private static final double SICK_SCORE = 11.3;
+
+    /** Growth of the sick score with the logarithm of the rate. */
+    private static final double SICK_SCORE_GROWTH = 1.25;
 
     /** Halves the evidence of stalls in 10 s, so that rare single ones do not add up. */
     private static final double STALL_DECAY_PER_BUCKET = 0.966;
@@ -129,20 +136,22 @@
             mFailureCount = failed + failedProbes + stalled;
             mFailureRequests = good + mFailureCount;
         }
+        boolean started = mGroupBuckets > FIRST_BUCKETS;
+        double lowest = started ? LOWEST_USUAL_FAILURE_RATE : FIRST_USUAL_FAILURE_RATE;
         double groupFailed = Math.max(before.failed(), after.failed());
         double usualFailed = Math.max(groupFailed, Math.max(mGroupFailureRate, mPastFailureRate));
         addRate(
                 mFailures,
                 failed,
                 good,
-                Math.max(LOWEST_USUAL_FAILURE_RATE, GROUP_MARGIN * usualFailed),
+                Math.max(lowest, GROUP_MARGIN * usualFailed),
                 FAULTY_FAILURE_RATE,
                 FAILURE_WEIGHT);
         addRate(
                 mFailures,
                 failedProbes,
                 0,
-                Math.max(LOWEST_USUAL_FAILURE_RATE, GROUP_MARGIN * usualFailed),
+                Math.max(lowest, GROUP_MARGIN * usualFailed),
                 FAULTY_FAILURE_RATE,
                 PROBE_SHARE);
         mStalls.decay(STALL_DECAY_PER_BUCKET);
@@ -249,7 +258,7 @@
 
     /** More requests give more chances for a false alarm in the same time. */
     private static double sickScore(double requestsPerSecond) {
-        return SICK_SCORE + Math.log(Math.max(1, requestsPerSecond));
+        return SICK_SCORE + SICK_SCORE_GROWTH * Math.log(Math.max(1, requestsPerSecond));
     }
 
     /**
@@ -261,7 +270,8 @@
     }
 
     private double score() {
-        double failures = mFailures.value() + mStalls.value();
+        // One hanging request and one wrong response by chance must not add up.
+        double failures = Math.max(mFailures.value(), mStalls.value());
         return Math.max(slowScore(), Math.max(failures, mRefusals.value()));
     }
 
