Continue a large response from another execution

Cause: when a session or backend server failed after a part of a large response was sent, the caller got a broken download although the request was idempotent. A second head of the same response is ignored. Measured: RequestPathTest.should_continue_a_download_at_another_backend_server fails before (100,000 of 200,000 bytes), passes after.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -108,7 +108,7 @@
     private void route(FullHttpRequest request, Responder responder) {
         Configuration configuration = mServices.configuration().current();
         if (configuration.revision() == 0) {
-            responder.sendWhole(notRun("no configuration yet; try another node"));
+            responder.sendWhole(TextResponses.notRun("no configuration yet; try another node"));
             return;
         }
         String host = request.headers().get(HttpHeaderNames.HOST, "");
@@ -159,14 +159,6 @@
                 weight);
     }
 
-    private static BufferedResponse notRun(String detail) {
-        return TextResponses.create(
-                TextResponses.SERVICE_UNAVAILABLE,
-                "not run: " + detail + "\n",
-                new HeaderField("arbutuslock-outcome", "not-run"),
-                new HeaderField("retry-after", "1"));
-    }
-
     private void finishRequest(boolean keepAlive) {
         mCurrent = Optional.empty();
         if (!keepAlive) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -59,7 +59,7 @@
     private String mLastUnknown = "";
     private int mAttempts;
     private boolean mDone;
-    private boolean mStarted;
+    private Optional<SentResponse> mSent = Optional.empty();
 
     CallerRequest(
             EntryServices services,
@@ -130,13 +130,18 @@
 
     private void retryOrElse(Runnable otherwise) {
         boolean timeLeft = mServices.clock().nanoTime() < mDeadlineNanos;
-        if (!mStarted && timeLeft && mServices.retries().allowRetry(route().service())) {
+        if (canStillComplete() && timeLeft && mServices.retries().allowRetry(route().service())) {
             startAttempt();
         } else {
             otherwise.run();
         }
     }
 
+    /** Tells whether another execution could give the caller a whole response. */
+    private boolean canStillComplete() {
+        return mSent.isEmpty() || mInput.idempotent() && mSent.get().isContinuable();
+    }
+
     /** Tries another endpoint. Only retries after an overload take from the retry budget. */
     private void retryRefused(RefusalReason reason) {
         switch (reason) {
@@ -174,31 +179,19 @@
             mShed.get().sendHeld();
             return;
         }
-        String text = "not run: " + mLastRefusal + "\n";
-        mResponse.sendWhole(
-                TextResponses.create(
-                        TextResponses.SERVICE_UNAVAILABLE,
-                        text,
-                        new HeaderField("arbutuslock-outcome", "not-run"),
-                        new HeaderField("retry-after", "1")));
+        mResponse.sendWhole(TextResponses.notRun(mLastRefusal));
         finish(RequestResult.NOT_RUN);
     }
 
     private void reportUnknown(String detail) {
-        if (mStarted) {
+        if (mSent.isPresent()) {
             mResponse.abort();
             finish(RequestResult.ABORTED);
             return;
         }
         // The outcome of one attempt says nothing when another one may have been executed too.
         String reference = mPossiblyRun.size() == 1 ? mPossiblyRun.getFirst().reference() : "";
-        String text = "outcome unknown: " + detail + "\n";
-        mResponse.sendWhole(
-                TextResponses.create(
-                        TextResponses.GATEWAY_TIMEOUT,
-                        text,
-                        new HeaderField("arbutuslock-outcome", "unknown"),
-                        new HeaderField("arbutuslock-request-id", reference)));
+        mResponse.sendWhole(TextResponses.unknown(detail, reference));
         finish(RequestResult.UNKNOWN);
     }
 
@@ -237,6 +230,7 @@
         private LoadReport mLoad = LoadReport.UNKNOWN;
         private long mBytes;
         private boolean mClosed;
+        private Optional<SentResponse.Continuation> mContinuation = Optional.empty();
 
         private Attempt(FleetSnapshot.Member member, RequestId id) {
             mMember = member;
@@ -260,10 +254,13 @@
                 return;
             }
             switch (event) {
+                // A duplicated frame must not start another comparison.
+                case ResponseEvent.Head duplicate when mStatus != 0 -> {}
                 case ResponseEvent.Head(int status, List<HeaderField> headers, LoadReport load) -> {
                     mStatus = status;
                     mHeaders = headers;
                     mLoad = load;
+                    compareHead();
                 }
                 case ResponseEvent.Body(byte[] data, boolean last) -> handleBody(data, last);
                 case ResponseEvent.Refused refused -> {
@@ -302,7 +299,7 @@
             boolean timeLeft = mServices.clock().nanoTime() < mDeadlineNanos;
             if (!mInput.idempotent()) {
                 askForOutcome();
-            } else if (!mStarted && timeLeft) {
+            } else if (canStillComplete() && timeLeft) {
                 // Not limited by the retry budget, since a lost session is no sign of overload.
                 startAttempt();
             } else {
@@ -310,14 +307,47 @@
             }
         }
 
+        /** Compares with the response of which an earlier attempt sent a part. */
+        private void compareHead() {
+            if (mSent.isPresent()) {
+                mContinuation = mSent.get().continueWith(mStatus, mHeaders);
+                if (mContinuation.isEmpty()) {
+                    rejectContinuation();
+                }
+            }
+        }
+
+        private void continueBody(
+                SentResponse.Continuation continuation, byte[] data, boolean last) {
+            Optional<byte[]> unsent = continuation.skipSent(data);
+            if (unsent.isEmpty() || last && !continuation.isCompared()) {
+                rejectContinuation();
+                return;
+            }
+            int skipped = data.length - unsent.get().length;
+            if (skipped > 0) {
+                grant(skipped, last);
+            }
+            if (last || unsent.get().length > 0) {
+                sendPart(unsent.get(), last);
+            }
+        }
+
+        private void rejectContinuation() {
+            cancel();
+            reportUnknown("another execution gave another response");
+        }
+
         private void handleBody(byte[] data, boolean last) {
             mBytes += data.length;
-            if (mStarted) {
+            if (mContinuation.isPresent()) {
+                continueBody(mContinuation.get(), data, last);
+            } else if (mSent.isPresent()) {
                 sendPart(data, last);
             } else if (mHeld.size() + data.length <= HELD_BYTES) {
                 hold(data, last);
             } else {
-                mStarted = true;
+                mSent = Optional.of(new SentResponse(mStatus, mHeaders));
                 mResponse.start(mStatus, mHeaders);
                 sendPart(mHeld.toByteArray(), false);
                 sendPart(data, last);
@@ -356,6 +386,7 @@
         }
 
         private void sendPart(byte[] data, boolean last) {
+            mSent.get().add(data);
             int bytes = data.length;
             mResponse.sendPart(data, last, () -> grant(bytes, last));
         }
@@ -423,7 +454,7 @@
         /** Delivers a kept response, or the part of it that the caller does not have yet. */
         private void deliver(BufferedResponse response) {
             acknowledge();
-            if (mStarted) {
+            if (mSent.isPresent()) {
                 reportUnknown("the session was lost while the response was sent");
                 return;
             }
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/SentResponse.java
@@ -0,0 +1,96 @@
+package org.arbutuslock.daemon.internal.callers;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.arbutuslock.internal.messages.HeaderField;
+
+/**
+ * What a caller has got of a response, so that the rest can come from another execution of the same
+ * idempotent request. Status, length and a hash of the sent bytes must agree.
+ *
+ * <pre>{@code
+ * SentResponse.Continuation rest = sent.continueWith(status, headers).orElseThrow();
+ * Optional<byte[]> unsent = rest.skipSent(data);
+ * }</pre>
+ */
+final class SentResponse {
+    private static final String HASH = "SHA-256";
+
+    private final int mStatus;
+    private final Optional<String> mLength;
+    private final MessageDigest mHash = createHash();
+    private long mBytes;
+
+    SentResponse(int status, List<HeaderField> headers) {
+        mStatus = status;
+        mLength = findLength(headers);
+    }
+
+    void add(byte[] data) {
+        mHash.update(data);
+        mBytes += data.length;
+    }
+
+    /** Tells whether the response can be continued; one without a length cannot be compared. */
+    boolean isContinuable() {
+        return mLength.isPresent();
+    }
+
+    /** Starts to compare another execution; empty when its head differs. */
+    Optional<Continuation> continueWith(int status, List<HeaderField> headers) {
+        boolean same = status == mStatus && isContinuable() && findLength(headers).equals(mLength);
+        return same ? Optional.of(new Continuation()) : Optional.empty();
+    }
+
+    private static Optional<String> findLength(List<HeaderField> headers) {
+        return headers.stream()
+                .filter(field -> field.name().equalsIgnoreCase("content-length"))
+                .map(HeaderField::value)
+                .findFirst();
+    }
+
+    private static MessageDigest createHash() {
+        try {
+            return MessageDigest.getInstance(HASH);
+        } catch (NoSuchAlgorithmException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    private byte[] hashSoFar() {
+        try {
+            return ((MessageDigest) mHash.clone()).digest();
+        } catch (CloneNotSupportedException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /** Another execution's response, of which the first part is compared and not sent again. */
+    final class Continuation {
+        private final MessageDigest mOtherHash = createHash();
+        private final byte[] mExpected = hashSoFar();
+        private long mToCompare = mBytes;
+
+        /** Returns the bytes that the caller does not have, or empty when the part differs. */
+        Optional<byte[]> skipSent(byte[] data) {
+            if (mToCompare == 0) {
+                return Optional.of(data);
+            }
+            int compared = (int) Math.min(mToCompare, data.length);
+            mOtherHash.update(data, 0, compared);
+            mToCompare -= compared;
+            if (mToCompare == 0 && !MessageDigest.isEqual(mExpected, mOtherHash.digest())) {
+                return Optional.empty();
+            }
+            return Optional.of(Arrays.copyOfRange(data, compared, data.length));
+        }
+
+        /** Tells whether everything that the caller has was compared. */
+        boolean isCompared() {
+            return mToCompare == 0;
+        }
+    }
+}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/TextResponses.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/TextResponses.java
@@ -16,6 +16,24 @@
 
     private TextResponses() {}
 
+    /** Creates a refusal of a request that has not run. */
+    static BufferedResponse notRun(String detail) {
+        return create(
+                SERVICE_UNAVAILABLE,
+                "not run: " + detail + "\n",
+                new HeaderField("arbutuslock-outcome", "not-run"),
+                new HeaderField("retry-after", "1"));
+    }
+
+    /** Creates the report of an unknown outcome; the reference is empty when there is none. */
+    static BufferedResponse unknown(String detail, String reference) {
+        return create(
+                GATEWAY_TIMEOUT,
+                "outcome unknown: " + detail + "\n",
+                new HeaderField("arbutuslock-outcome", "unknown"),
+                new HeaderField("arbutuslock-request-id", reference));
+    }
+
     static BufferedResponse create(int status, String text, HeaderField... fields) {
         List<HeaderField> headers = new ArrayList<>(List.of(fields));
         headers.add(new HeaderField("content-type", "text/plain; charset=utf-8"));
--- a/testbed/src/test/java/org/arbutuslock/testbed/fleet/RequestPathTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/fleet/RequestPathTest.java
@@ -17,6 +17,7 @@
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.internal.configuration.ConfigurationOperation;
 import org.arbutuslock.testbed.backend.BackendFaults;
+import org.arbutuslock.testbed.backend.BackendServer;
 import org.arbutuslock.testbed.backend.EchoBody;
 import org.arbutuslock.testbed.backend.WorkTimes;
 import org.testng.annotations.AfterMethod;
@@ -74,6 +75,20 @@
         assertEquals(outcome.headers().firstValue("arbutuslock-outcome").orElse(""), "unknown");
     }
 
+    @Test
+    public void should_continue_a_download_at_another_backend_server() throws Exception {
+        WorkTimes times = WorkTimes.of(2, 200_000, 20_000_000);
+        BackendServer truncating = mFleet.backends().get("order-hub-1");
+        truncating.setFaults(BackendFaults.none().withTruncateShare(1));
+        mFleet.addBackend("calgary-a-2", "order-hub-2", "order-hub", 5, times);
+        mFleet.awaitReady();
+        while (truncating.executions().total() == 0) {
+            HttpResponse<byte[]> response = send("GET", "/long/bundle", "");
+            assertEquals(response.body().length, 200_000);
+            assertTrue(EchoBody.matches(response.body(), "GET", "/long/bundle", bytes("")));
+        }
+    }
+
     @Test
     public void should_not_claim_not_run_when_a_retry_is_refused() throws Exception {
         mFleet.backends().get("order-hub-1").setFaults(BackendFaults.none().withTruncateShare(1));
