Plant the retry fault where it must show

Change: the planted run holds responses back with one-way partitions, so that orders are executed whose responses do not arrive. The assertion is unchanged.

--- a/testbed/src/test/java/org/arbutuslock/testbed/fault/FaultHistoryTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/fault/FaultHistoryTest.java
@@ -31,7 +31,8 @@
 
     @Test
     public void should_detect_orders_that_are_retried_without_asking() throws Exception {
-        Set<FaultKind> faults = EnumSet.of(FaultKind.RESET, FaultKind.CUT);
+        // Orders are executed during the partition, but their responses do not arrive.
+        Set<FaultKind> faults = EnumSet.of(FaultKind.RESET, FaultKind.PARTITION_FROM_NODE);
         HistoryReport report = run(faults, 1_000, true);
         assertTrue(
                 report.violations().stream().anyMatch(text -> text.contains("executed 2 times")),
