--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/BenchRunner.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/BenchRunner.java
@@ -33,10 +33,16 @@
             parser.handleError(wrong);
             return wrong instanceof HelpScreenException ? 0 : EXIT_WRONG_OPTIONS;
         }
-        // Nodes log every session; at the terminal these events would hide the figures.
-        Logger.getLogger("").setLevel(Level.SEVERE);
         BenchReport report = new BenchReport(name, options.getLong("seed"));
-        bench.measure(options, report);
+        // Nodes log every session; at the terminal these events would hide the figures.
+        Logger root = Logger.getLogger("");
+        Level level = root.getLevel();
+        root.setLevel(Level.SEVERE);
+        try {
+            bench.measure(options, report);
+        } finally {
+            root.setLevel(level);
+        }
         boolean json = options.getString("format").equals("json");
         System.out.println(json ? report.toJson() : report.toText());
         return report.meetsBounds() ? 0 : EXIT_MISSED_BOUND;
