Reject malformed UTF-8 in messages and configuration changes

Cause: MessageReader and BoundedUnpacker replaced malformed bytes by U+FFFD, so a damaged name was accepted as another name. A replaced byte takes three when the value is passed on: a name of 255 bytes with one damaged byte became one of 257, which the next node rejects by closing the session.

Change: both readers compare the text with the bytes when it contains U+FFFD and reject it with position and field. Valid text pays for one search only.

--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/BoundedUnpacker.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/BoundedUnpacker.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
@@ -14,6 +15,9 @@
     /** UTF-8 takes up to 3 bytes for each UTF-16 character. */
     private static final int BYTES_PER_CHARACTER = 3;
 
+    /** Java decodes malformed UTF-8 to this character. */
+    private static final char REPLACEMENT = '\uFFFD';
+
     private final MessageUnpacker mUnpacker;
     private final int mLength;
 
@@ -57,8 +61,13 @@
     String readString(String field, int maximumCharacters) throws MalformedConfigurationException {
         int bytes = read(field, mUnpacker::unpackRawStringHeader);
         requireRange(field + " length", bytes, 0, maximumCharacters * BYTES_PER_CHARACTER);
-        String value =
-                read(field, () -> new String(mUnpacker.readPayload(bytes), StandardCharsets.UTF_8));
+        byte[] payload = read(field, () -> mUnpacker.readPayload(bytes));
+        String value = new String(payload, StandardCharsets.UTF_8);
+        // With replaced bytes, damaged names would become valid and several could become equal.
+        if (value.indexOf(REPLACEMENT) >= 0
+                && !Arrays.equals(value.getBytes(StandardCharsets.UTF_8), payload)) {
+            throw malformed(field, "malformed UTF-8", "text in UTF-8");
+        }
         requireRange(field + " length", value.length(), 0, maximumCharacters);
         return value;
     }
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/MessageReader.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/MessageReader.java
@@ -1,6 +1,8 @@
 package org.arbutuslock.internal.messages;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.function.Supplier;
 import org.arbutuslock.api.EndpointId;
 import org.msgpack.core.MessagePack;
@@ -20,6 +22,9 @@
 public final class MessageReader implements AutoCloseable {
     private static final int MAXIMUM_NAME_BYTES = 255;
 
+    /** Java decodes malformed UTF-8 to this character. */
+    private static final char REPLACEMENT = '\uFFFD';
+
     private final MessageUnpacker mUnpacker;
 
     /**
@@ -51,14 +56,20 @@
      * @param field name of the field for errors
      * @param maximumBytes largest number of UTF-8 bytes allowed
      * @return the string
-     * @throws MessageFormatException when the value is not a string or too long
+     * @throws MessageFormatException when the value is not a string of UTF-8 or too long
      */
     public String readString(String field, int maximumBytes) throws MessageFormatException {
         expect(field, ValueType.STRING);
         int length = call(field, mUnpacker::unpackRawStringHeader);
         checkLength(field, length, maximumBytes);
         byte[] bytes = call(field, () -> mUnpacker.readPayload(length));
-        return new String(bytes, java.nio.charset.StandardCharsets.UTF_8);
+        String text = new String(bytes, StandardCharsets.UTF_8);
+        // A replaced byte takes three when it is passed on, which other nodes reject as too long.
+        if (text.indexOf(REPLACEMENT) >= 0
+                && !Arrays.equals(text.getBytes(StandardCharsets.UTF_8), bytes)) {
+            throw problem(field, "the text is not UTF-8");
+        }
+        return text;
     }
 
     /**
