Report the position of documents that exceed a limit of the parser

Cause: Jackson's errors about string length or nesting have no location of their own, so DocumentParser reported line -1 and column -1.

Change: the error gets the position that the parser has reached.

--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/DocumentParser.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/DocumentParser.java
@@ -252,8 +252,10 @@
     }
 
     private void addSyntaxError(JsonProcessingException syntaxError) {
-        JsonLocation location =
-                syntaxError.getLocation() == null ? JsonLocation.NA : syntaxError.getLocation();
+        // Errors about size or nesting limits come without a location of their own.
+        JsonLocation own = syntaxError.getLocation();
+        boolean located = own != null && own.getLineNr() > 0;
+        JsonLocation location = located ? own : mParser.currentLocation();
         mErrors.add(
                 new DocumentError(
                         mFile,
