Bound the nesting of settings files and locate text that is not UTF-8

Files that are not UTF-8, or that exceed a limit of the parser, were rejected without a position.

Change: settings nest at most 16 deep, against 3 in use. Utf8Text reports line and column of the first malformed byte, and limit errors get the position that the parser has reached.

--- a/kernel/src/main/java/org/arbutuslock/internal/settings/LocatedJsonReader.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/LocatedJsonReader.java
@@ -5,20 +5,27 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 
 /** Reads JSON with comments and keeps the position of every value. */
 final class LocatedJsonReader {
+    /** Settings nest 3 deep. Each level copies the path, so that memory is the square of depth. */
+    private static final int MAXIMUM_NESTING = 16;
+
     private static final JsonFactory FACTORY =
             JsonFactory.builder()
                     .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
                     .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+                    .streamReadConstraints(
+                            StreamReadConstraints.builder()
+                                    .maxNestingDepth(MAXIMUM_NESTING)
+                                    .build())
                     .build();
 
     private final ProblemCollector mProblems;
@@ -30,6 +37,12 @@
     /** Returns the object that the text holds, or null after reporting why there is none. */
     LocatedValue.Section read(String text) throws IOException {
         try (JsonParser parser = FACTORY.createParser(text)) {
+            return readRoot(parser);
+        }
+    }
+
+    private LocatedValue.Section readRoot(JsonParser parser) throws IOException {
+        try {
             parser.nextToken();
             if (parser.currentToken() != JsonToken.START_OBJECT) {
                 mProblems.add(1, 1, "", "", "the file must hold one JSON object in braces");
@@ -47,12 +60,13 @@
             }
             return root;
         } catch (JsonProcessingException malformed) {
-            // Errors about size or nesting limits may come without a location.
-            JsonLocation location =
-                    Objects.requireNonNullElse(malformed.getLocation(), JsonLocation.NA);
+            // Errors about size or nesting limits come without a location of their own.
+            JsonLocation own = malformed.getLocation();
+            boolean located = own != null && own.getLineNr() > 0;
+            JsonLocation location = located ? own : parser.currentLocation();
             mProblems.add(
-                    Math.max(0, location.getLineNr()),
-                    Math.max(0, location.getColumnNr()),
+                    location.getLineNr(),
+                    location.getColumnNr(),
                     "",
                     "",
                     "malformed JSON: " + malformed.getOriginalMessage());
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsLoader.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsLoader.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.CharacterCodingException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -68,8 +67,9 @@
                                 + " bytes");
                 return Optional.empty();
             }
+            String text = Utf8Text.decode(Files.readAllBytes(file), problems);
             return Optional.ofNullable(
-                    new LocatedJsonReader(problems).read(Files.readString(file)));
+                    text == null ? null : new LocatedJsonReader(problems).read(text));
         } catch (IOException unreadable) {
             problems.add(0, 0, "", "", describe(unreadable));
             return Optional.empty();
@@ -80,7 +80,6 @@
         return switch (unreadable) {
             case NoSuchFileException missing ->
                     "the file does not exist; copy config/node.example.json and adapt it";
-            case CharacterCodingException malformed -> "the file is not UTF-8 text; convert it";
             default ->
                     "the file cannot be read ("
                             + unreadable.getClass().getSimpleName()
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/Utf8Text.java
@@ -0,0 +1,27 @@
+package org.arbutuslock.internal.settings;
+
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CharsetDecoder;
+import java.nio.charset.StandardCharsets;
+
+/** Decodes the text of a file and reports where it is not UTF-8. */
+final class Utf8Text {
+    private Utf8Text() {}
+
+    /** Returns the text, or null after reporting the first malformed byte. */
+    static String decode(byte[] bytes, ProblemCollector problems) {
+        CharsetDecoder decoder = StandardCharsets.UTF_8.newDecoder();
+        // UTF-8 takes at least one byte for each UTF-16 character.
+        CharBuffer decoded = CharBuffer.allocate(bytes.length);
+        boolean malformed = decoder.decode(ByteBuffer.wrap(bytes), decoded, true).isError();
+        String text = decoded.flip().toString();
+        if (!malformed) {
+            return text;
+        }
+        int line = 1 + (int) text.chars().filter(character -> character == '\n').count();
+        int column = text.length() - text.lastIndexOf('\n');
+        problems.add(line, column, "", "", "the file is not UTF-8 text here; convert it");
+        return null;
+    }
+}
