--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/settings/SettingsFuzzTest.java
@@ -0,0 +1,34 @@
+package org.arbutuslock.internal.settings;
+
+import static org.testng.Assert.assertFalse;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.arbutuslock.internal.testing.DecoderFuzz;
+import org.testng.annotations.Test;
+
+/** Guards against a settings file that crashes a node instead of being explained. */
+public class SettingsFuzzTest {
+    @Test
+    public void should_survive_damaged_files() throws IOException {
+        Path file = Files.createTempDirectory("settings").resolve("node.json");
+        new DecoderFuzz(
+                        "settings",
+                        List.of(Files.readAllBytes(Path.of("../config/node.example.json"))),
+                        DecoderFuzz.JSON_TOKENS,
+                        "node\\.json:[1-9]\\d*:[1-9]\\d*:")
+                .run(input -> load(Files.write(file, input)));
+        Files.delete(file);
+    }
+
+    private static DecoderFuzz.Outcome load(Path file) {
+        return switch (new SettingsLoader().load(file)) {
+            case SettingsResult.Loaded(NodeSettings settings) ->
+                    DecoderFuzz.Outcome.accepted(() -> assertFalse(settings.nodeName().isEmpty()));
+            case SettingsResult.Invalid(List<SettingsProblem> problems) ->
+                    DecoderFuzz.Outcome.rejected(problems.getFirst().toString());
+        };
+    }
+}
