--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/BenchReport.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/BenchReport.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -42,15 +43,20 @@
     }
 
     void atMost(String name, double value, double bound, String unit) {
-        mRows.add(new BenchRow(name, value, unit, "at most " + bound, value <= bound));
+        mRows.add(new BenchRow(name, value, unit, "at most " + format(bound), value <= bound));
     }
 
     void atLeast(String name, double value, double bound, String unit) {
-        mRows.add(new BenchRow(name, value, unit, "at least " + bound, value >= bound));
+        mRows.add(new BenchRow(name, value, unit, "at least " + format(bound), value >= bound));
     }
 
     void below(String name, double value, double bound, String unit) {
-        mRows.add(new BenchRow(name, value, unit, "below " + bound, value < bound));
+        mRows.add(new BenchRow(name, value, unit, "below " + format(bound), value < bound));
+    }
+
+    /** Formats a bound without an exponent or trailing zeros. */
+    private static String format(double bound) {
+        return BigDecimal.valueOf(bound).stripTrailingZeros().toPlainString();
     }
 
     /** Adds a row that reports a failed run. */
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/ConfigurationSizeBench.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/ConfigurationSizeBench.java
@@ -98,31 +98,34 @@
             int routes = ROUTES[index];
             int tenants = TENANTS[index];
             routeBytes[index] =
-                    heldBytes("held bytes of " + routes + " routes with services", routes, 0);
-            tenantBytes[index] = heldBytes("held bytes of " + tenants + " tenants", 0, tenants);
+                    reportHeld("held memory of " + routes + " routes with services", routes, 0);
+            tenantBytes[index] = reportHeld("held memory of " + tenants + " tenants", 0, tenants);
         }
         BenchPlot plot = mReport.plot("memory", "thousands of entities", "held bytes");
         for (int index = 0; index < ROUTES.length; index++) {
             plot.point("routes", ROUTES[index] / 1e3, routeBytes[index]);
             plot.point("tenants", TENANTS[index] / 1e3, tenantBytes[index]);
         }
-        report("bytes per route", slope(routeBytes, ROUTES));
-        report("bytes per tenant", slope(tenantBytes, TENANTS));
+        report("held memory per route", "bytes", slope(routeBytes, ROUTES));
+        report("held memory per tenant", "bytes", slope(tenantBytes, TENANTS));
+        String everything = "held memory of everything at design size";
         long total =
-                heldBytes(
-                        "held bytes of everything at design size",
-                        ROUTES[ROUTES.length - 1],
-                        TENANTS[TENANTS.length - 1]);
-        requireAtMost("held bytes of everything at design size", total, MAXIMUM_BYTES);
+                measureHeld(everything, ROUTES[ROUTES.length - 1], TENANTS[TENANTS.length - 1]);
+        requireAtMost(everything, "bytes", total, MAXIMUM_BYTES);
     }
 
-    private long heldBytes(String name, int routes, int tenants) {
+    private long reportHeld(String name, int routes, int tenants) {
+        long bytes = measureHeld(name, routes, tenants);
+        report(name, "bytes", bytes);
+        return bytes;
+    }
+
+    private static long measureHeld(String name, int routes, int tenants) {
         Measurement.Held<Configuration> held =
                 Measurement.held(() -> SampleConfigurations.build(routes, tenants));
         if (held.value().routeCount() != routes || held.value().tenantCount() != tenants) {
             throw new IllegalStateException(name + ": the sample configuration is incomplete");
         }
-        report(name, held.bytes());
         return held.bytes();
     }
 
@@ -137,12 +140,11 @@
                 Arrays.stream(MATCHED_ROUTES).mapToObj(this::matchingOf).toList();
         double[] nanos = Measurement.medianNanos(REQUESTS, variants);
         for (int index = 0; index < MATCHED_ROUTES.length; index++) {
-            report("ns to match at " + MATCHED_ROUTES[index] + " routes", nanos[index]);
+            report("match at " + MATCHED_ROUTES[index] + " routes", "ns", nanos[index]);
         }
         double ratio = nanos[MATCHED_ROUTES.length - 1] / nanos[0];
-        report("match cost at 70,000 routes relative to 70", ratio);
-        requireAtMost("match cost at 70,000 routes relative to 70", ratio, MAXIMUM_RATIO);
-        report("sum of priorities of matched routes", mPriorities);
+        requireAtMost("match cost at 70,000 routes relative to 70", "times", ratio, MAXIMUM_RATIO);
+        report("sum of priorities of matched routes", "", mPriorities);
     }
 
     private IntConsumer matchingOf(int routes) {
@@ -174,12 +176,12 @@
         }
         double[] nanos = Measurement.medianNanos(CHANGES_PER_ROUND, variants);
         for (int index = 0; index < ROUTES.length; index++) {
-            report("ns to apply one change at " + ROUTES[index] + " routes", nanos[index]);
+            report("apply one change at " + ROUTES[index] + " routes", "ns", nanos[index]);
             measureSnapshot(ROUTES[index], TENANTS[index]);
         }
         double ratio = nanos[ROUTES.length - 1] / nanos[0];
-        report("change cost at 70,000 routes relative to 700", ratio);
-        requireAtMost("change cost at 70,000 routes relative to 700", ratio, MAXIMUM_RATIO);
+        requireAtMost(
+                "change cost at 70,000 routes relative to 700", "times", ratio, MAXIMUM_RATIO);
     }
 
     /** Encodes, decodes and applies changes of one route or one tenant in turns. */
@@ -211,9 +213,10 @@
     private void measureSnapshot(int routes, int tenants) throws MalformedConfigurationException {
         List<byte[]> parts = SnapshotCodec.encode(SampleConfigurations.build(routes, tenants));
         String size = routes + " routes and " + tenants + " tenants";
-        report("parts of a snapshot of " + size, parts.size());
+        report("snapshot of " + size, "parts", parts.size());
         report(
-                "encoded bytes of a snapshot of " + size,
+                "encoded snapshot of " + size,
+                "bytes",
                 parts.stream().mapToLong(part -> part.length).sum());
         double best = Double.MAX_VALUE;
         for (int round = 0; round < 5; round++) {
@@ -228,7 +231,7 @@
                 throw new IllegalStateException("the loaded snapshot is incomplete");
             }
         }
-        report("ms to load a snapshot of " + size + " (best of 5)", best);
+        report("load a snapshot of " + size + " (best of 5)", "ms", best);
     }
 
     private void measureStoreCalls() {
@@ -254,15 +257,15 @@
                 throw new IllegalStateException("submission " + index + ": " + result);
             }
         }
-        report("store calls per change", (double) store.calls() / SUBMISSIONS);
+        report("store calls per change", "calls", (double) store.calls() / SUBMISSIONS);
     }
 
-    private void report(String name, double value) {
-        mReport.figure(name, value, "");
-        mReport.progress(String.format(Locale.ROOT, "%s: %.2f", name, value));
+    private void report(String name, String unit, double value) {
+        mReport.figure(name, value, unit);
+        mReport.progress(String.format(Locale.ROOT, "%s: %.2f %s", name, value, unit));
     }
 
-    private void requireAtMost(String name, double value, double maximum) {
-        mReport.atMost("bound of " + name, value, maximum, "");
+    private void requireAtMost(String name, String unit, double value, double maximum) {
+        mReport.atMost(name, value, maximum, unit);
     }
 }
--- a/testbed/src/test/java/org/arbutuslock/testbed/bench/BenchMainTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/bench/BenchMainTest.java
@@ -66,7 +66,7 @@
         assertEquals(json.at("/environment/seed").asLong(), 77);
         assertTrue(json.at("/environment/cores").asInt() > 0);
         assertEquals(json.at("/reports/0/figures/0/figure").asDouble(), 5.0);
-        assertTrue(Files.readString(output.resolve("report.txt")).contains("at most 5.0"));
+        assertTrue(Files.readString(output.resolve("report.txt")).contains("at most 5 "));
         assertTrue(Files.readString(output.resolve("fixed-growth.svg")).contains("<svg"));
     }
 }
