Take over only slots that stay as they are

Every candidate saw its zone unwatched for 30 s and replaced slots that others had claimed a moment before, whose leases were renewed all the same.

Change: free slots come first, and a taken slot is replaced only when the zone is unwatched and the versions of its slots have not changed for one lease.

--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/WatcherElection.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/WatcherElection.java
@@ -46,6 +46,8 @@
     private long mValidUntilNanos;
     private long mRenewAtNanos;
     private boolean mRenewing;
+    private Map<Integer, Long> mSeenSlots = Map.of();
+    private long mSeenSinceNanos;
     private long mSentNanos;
     private long mTryAtNanos;
     private long mBackoffNanos = FIRST_BACKOFF_NANOS;
@@ -80,8 +82,8 @@
 
     /**
      * Handles the slots that are taken, or empty when the store did not respond. A slot is taken
-     * over when the zone has had no watcher for long: a restored backup can hold slots whose leases
-     * never lapse.
+     * over when the zone has had no watcher for long and the slots stay as they are: a restored
+     * backup can hold slots whose leases never lapse.
      */
     void slotsListed(
             Optional<Map<Integer, Long>> taken,
@@ -98,10 +100,13 @@
         mBackoffNanos = FIRST_BACKOFF_NANOS;
         List<Integer> free = new ArrayList<>();
         for (int slot = 0; slot < SLOTS; slot++) {
-            if (unwatched || !taken.get().containsKey(slot)) {
+            if (!taken.get().containsKey(slot)) {
                 free.add(slot);
             }
         }
+        if (free.isEmpty() && unwatched && areStale(taken.get(), now)) {
+            free.addAll(taken.get().keySet());
+        }
         if (free.isEmpty()) {
             waitAbout(POLL_NANOS, now);
             return;
@@ -113,6 +118,15 @@
         actions.add(new SpreadAction.ClaimSlot(slot, version));
     }
 
+    /** Slots that were claimed a moment ago change first, and their watchers are heard of then. */
+    private boolean areStale(Map<Integer, Long> taken, long now) {
+        if (!taken.equals(mSeenSlots)) {
+            mSeenSlots = taken;
+            mSeenSinceNanos = now;
+        }
+        return now - mSeenSinceNanos >= LEASE.toNanos();
+    }
+
     /** Handles the end of a claim. The lease counts from the moment at which it was requested. */
     void slotClaimed(int slot, WatcherSlots.Claim claim, long now, List<SpreadAction> actions) {
         if (mState != State.CLAIMING) {
--- a/kernel/src/test/java/org/arbutuslock/internal/configuration/spread/ConfigurationSpreadTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/configuration/spread/ConfigurationSpreadTest.java
@@ -167,6 +167,10 @@
         assertFalse(has(mSpread.slotsListed(Optional.of(taken)), SpreadAction.ClaimSlot.class));
         mClock.advance(Duration.ofSeconds(31));
         mSpread.tick();
+        // The slots may have been claimed a moment ago.
+        assertFalse(has(mSpread.slotsListed(Optional.of(taken)), SpreadAction.ClaimSlot.class));
+        mClock.advance(WatcherElection.LEASE);
+        mSpread.tick();
         List<SpreadAction> actions = mSpread.slotsListed(Optional.of(taken));
         assertTrue(
                 actions.stream()
