Measure the spread of configuration changes in a local fleet

Cause: no figure showed whether changes are in force in time, and how many calls the fleet makes to the store.

--- /dev/null
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/DelayingRelay.java
@@ -0,0 +1,166 @@
+package org.arbutuslock.testbed.bench;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.internal.messages.MessageFormatException;
+import org.arbutuslock.internal.messages.PeerMessage;
+import org.arbutuslock.internal.messages.PeerMessageCodec;
+
+/**
+ * Stands in for the network in front of one node: delays the frames of nodes of other regions and
+ * loses a share of the messages about the configuration.
+ */
+final class DelayingRelay implements AutoCloseable {
+    private static final int FRAME_BYTES = PeerMessageCodec.MAXIMUM_MESSAGE_BYTES + Integer.BYTES;
+
+    private final Channel mListener;
+    private final String mRegion;
+    private final InetSocketAddress mNode;
+    private final Duration mDelay;
+    private final SplittableRandom mRandom;
+    private volatile double mLoss;
+
+    DelayingRelay(
+            EventLoopGroup eventLoops,
+            InetSocketAddress address,
+            InetSocketAddress node,
+            String region,
+            Duration delay,
+            long seed) {
+        mNode = node;
+        mRegion = region;
+        mDelay = delay;
+        mRandom = new SplittableRandom(seed);
+        mListener =
+                new ServerBootstrap()
+                        .group(eventLoops)
+                        .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.AUTO_READ, false)
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        connect(channel);
+                                    }
+                                })
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    void setLoss(double loss) {
+        mLoss = loss;
+    }
+
+    @Override
+    public void close() {
+        mListener.close().syncUninterruptibly();
+    }
+
+    private void connect(Channel caller) {
+        Link link = new Link();
+        new Bootstrap()
+                .group(caller.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel node) {
+                                install(node, new Direction(link, caller));
+                            }
+                        })
+                .connect(mNode)
+                .addListener(
+                        (io.netty.channel.ChannelFuture connected) -> {
+                            if (connected.isSuccess()) {
+                                install(caller, new Direction(link, connected.channel()));
+                                caller.config().setAutoRead(true);
+                            } else {
+                                caller.close();
+                            }
+                        });
+    }
+
+    private static void install(Channel channel, ChannelHandler handler) {
+        channel.pipeline()
+                .addLast(
+                        new LengthFieldBasedFrameDecoder(
+                                FRAME_BYTES, 0, Integer.BYTES, 0, Integer.BYTES));
+        channel.pipeline().addLast(handler);
+    }
+
+    private synchronized boolean isLost() {
+        return mLoss > 0 && mRandom.nextDouble() < mLoss;
+    }
+
+    /** What both directions of one connection share; used by one event loop. */
+    private static final class Link {
+        private boolean mDelayed;
+    }
+
+    /** Passes frames on to the other side. */
+    private final class Direction extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Link mLink;
+        private final Channel mOther;
+
+        Direction(Link link, Channel other) {
+            mLink = link;
+            mOther = other;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf frame)
+                throws MessageFormatException {
+            byte[] bytes = ByteBufUtil.getBytes(frame);
+            switch (PeerMessageCodec.decode(bytes)) {
+                case PeerMessage.Hello hello -> mLink.mDelayed = !hello.region().equals(mRegion);
+                case PeerMessage.ChannelMessage message -> {
+                    if (message.channel() == PeerMessage.Channel.CONFIGURATION && isLost()) {
+                        return;
+                    }
+                }
+                default -> {}
+            }
+            ByteBuf copy = context.alloc().buffer(Integer.BYTES + bytes.length);
+            copy.writeInt(bytes.length).writeBytes(bytes);
+            if (mLink.mDelayed) {
+                later(context, () -> mOther.writeAndFlush(copy));
+            } else {
+                mOther.writeAndFlush(copy);
+            }
+        }
+
+        /** Tasks with the same delay run in their order. */
+        private void later(ChannelHandlerContext context, Runnable task) {
+            context.executor().schedule(task, mDelay.toNanos(), TimeUnit.NANOSECONDS);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            later(context, mOther::close);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
