Name pushed updates after what they are

Cause: read-through; "news" is no term of the field. Change: UpdateDissemination, RecordUpdate, RevisionPush; no behaviour changes.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/RevisionStream.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/RevisionStream.java
@@ -59,8 +59,8 @@
             return;
         }
         // A slow reader misses intermediate states instead of growing a queue.
-        boolean news = !progress.equals(mSent) && mObserver.isReady();
-        if (news || progress.getInForce()) {
+        boolean changed = !progress.equals(mSent) && mObserver.isReady();
+        if (changed || progress.getInForce()) {
             mObserver.onNext(progress);
             mSent = progress;
         }
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/ConfigurationSpread.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/ConfigurationSpread.java
@@ -51,7 +51,7 @@
     private final Clock mClock;
     private final RandomGenerator mRandom;
     private final SpreadPeers mPeers;
-    private final NewsPush mNews;
+    private final RevisionPush mRevisionPush;
     private final RecentLog mLog = new RecentLog();
     private final WaitingChanges mWaiting = new WaitingChanges();
     private final SnapshotExchange mSnapshots;
@@ -85,7 +85,7 @@
         mClock = clock;
         mRandom = random;
         mPeers = new SpreadPeers(self, random);
-        mNews = new NewsPush(self, mPeers);
+        mRevisionPush = new RevisionPush(self, mPeers);
         mSnapshots = new SnapshotExchange(self.sender(), new SnapshotOutput());
         mCompaction = new CompactionPlan(random);
         mElection = new WatcherElection(random, now);
@@ -269,7 +269,7 @@
     }
 
     private List<SpreadAction> end() {
-        mNews.flush(this::idOf, digest(false), this::send);
+        mRevisionPush.flush(this::idOf, digest(false), this::send);
         List<SpreadAction> actions = mActions;
         mActions = new ArrayList<>();
         return actions;
@@ -374,7 +374,7 @@
     private void receiveChanges(SpreadMessage.Changes message, long now) {
         String peer = message.sender().node();
         mNeighbors.confirm(peer, message.revision());
-        SpreadMessage.Origin origin = message.repair() ? NewsPush.NO_ORIGIN : message.origin();
+        SpreadMessage.Origin origin = message.repair() ? RevisionPush.NO_ORIGIN : message.origin();
         UUID baseId = message.baseId();
         try {
             for (byte[] encoded : message.changes()) {
@@ -415,7 +415,7 @@
             if (!entry.peer().equals(LOCAL)) {
                 mActions.add(new SpreadAction.ApplyChange(entry.peer(), change));
             }
-            mNews.add(change.revision(), encoded, entry.origin(), entry.peer());
+            mRevisionPush.add(change.revision(), encoded, entry.origin(), entry.peer());
             entry = mWaiting.take(mLog.revision() + 1);
         }
         if (mLog.revision() > before) {
@@ -434,7 +434,7 @@
                             mSelf.sender(),
                             mLog.revision(),
                             idOf(request.after()),
-                            NewsPush.NO_ORIGIN,
+                            RevisionPush.NO_ORIGIN,
                             true,
                             mLog.after(request.after())));
         } else if (request.after() < mLog.revision()) {
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/NewsPush.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/RevisionPush.java
@@ -9,7 +9,7 @@
  * Sends changes that this node did not know to 3 random nodes of its availability zone and, on
  * relays, to the other zones of the region and to the other regions.
  */
-final class NewsPush {
+final class RevisionPush {
     private static final int RECEIVERS = 3;
 
     /** A larger change is announced by a digest, so that each receiver takes one copy of it. */
@@ -23,9 +23,9 @@
 
     private final NodeIdentity mSelf;
     private final SpreadPeers mPeers;
-    private final List<News> mNews = new ArrayList<>();
+    private final List<PendingRevision> mPending = new ArrayList<>();
 
-    private record News(
+    private record PendingRevision(
             long revision, byte[] encoded, SpreadMessage.Origin origin, String sender) {}
 
     /** Sends an encoded message. */
@@ -33,16 +33,16 @@
         void send(List<String> addresses, SpreadMessage message);
     }
 
-    NewsPush(NodeIdentity self, SpreadPeers peers) {
+    RevisionPush(NodeIdentity self, SpreadPeers peers) {
         mSelf = self;
         mPeers = peers;
     }
 
     void add(long revision, byte[] encoded, SpreadMessage.Origin origin, String sender) {
-        mNews.add(new News(revision, encoded, enter(origin), sender));
+        mPending.add(new PendingRevision(revision, encoded, enter(origin), sender));
     }
 
-    /** News from another region start anew in the zone that they reach first. */
+    /** A change from another region starts anew in the zone that it reaches first. */
     private SpreadMessage.Origin enter(SpreadMessage.Origin origin) {
         return !origin.region().isEmpty() && origin.zone().isEmpty()
                 ? new SpreadMessage.Origin(origin.region(), mSelf.zone())
@@ -50,40 +50,51 @@
     }
 
     void flush(LongFunction<UUID> idOf, SpreadMessage.Digest digest, Sending sending) {
-        if (mNews.isEmpty()) {
+        if (mPending.isEmpty()) {
             return;
         }
-        if (mNews.size() > MOST_PUSHED_CHANGES) {
-            sending.send(mPeers.receivers(RECEIVERS, mNews.getFirst().sender()), digest);
-            mNews.clear();
+        if (mPending.size() > MOST_PUSHED_CHANGES) {
+            sending.send(mPeers.receivers(RECEIVERS, mPending.getFirst().sender()), digest);
+            mPending.clear();
             return;
         }
-        for (News news : mNews) {
-            send(news, idOf.apply(news.revision() - 1), digest, sending);
+        for (PendingRevision pending : mPending) {
+            send(pending, idOf.apply(pending.revision() - 1), digest, sending);
         }
-        mNews.clear();
+        mPending.clear();
     }
 
-    private void send(News news, UUID baseId, SpreadMessage.Digest digest, Sending sending) {
+    private void send(
+            PendingRevision pending, UUID baseId, SpreadMessage.Digest digest, Sending sending) {
         sending.send(
-                mPeers.receivers(RECEIVERS, news.sender()),
-                messageOf(news, baseId, news.origin(), digest));
-        if (mPeers.isZoneRelay() && news.origin().zone().equals(mSelf.zone())) {
+                mPeers.receivers(RECEIVERS, pending.sender()),
+                messageOf(pending, baseId, pending.origin(), digest));
+        if (mPeers.isZoneRelay() && pending.origin().zone().equals(mSelf.zone())) {
             sending.send(
-                    mPeers.oneOfEachOtherZone(), messageOf(news, baseId, news.origin(), digest));
+                    mPeers.oneOfEachOtherZone(),
+                    messageOf(pending, baseId, pending.origin(), digest));
         }
-        if (mPeers.isRegionRelay() && news.origin().region().equals(mSelf.region())) {
+        if (mPeers.isRegionRelay() && pending.origin().region().equals(mSelf.region())) {
             SpreadMessage.Origin crossing = new SpreadMessage.Origin(mSelf.region(), "");
-            sending.send(mPeers.oneOfEachOtherRegion(), messageOf(news, baseId, crossing, digest));
+            sending.send(
+                    mPeers.oneOfEachOtherRegion(), messageOf(pending, baseId, crossing, digest));
         }
     }
 
     private SpreadMessage messageOf(
-            News news, UUID baseId, SpreadMessage.Origin origin, SpreadMessage.Digest digest) {
-        if (news.encoded().length > LARGEST_PUSHED_BYTES) {
+            PendingRevision pending,
+            UUID baseId,
+            SpreadMessage.Origin origin,
+            SpreadMessage.Digest digest) {
+        if (pending.encoded().length > LARGEST_PUSHED_BYTES) {
             return digest;
         }
         return new SpreadMessage.Changes(
-                mSelf.sender(), news.revision(), baseId, origin, false, List.of(news.encoded()));
+                mSelf.sender(),
+                pending.revision(),
+                baseId,
+                origin,
+                false,
+                List.of(pending.encoded()));
     }
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/SpreadMessage.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/spread/SpreadMessage.java
@@ -24,7 +24,7 @@
     record Sender(String node, String address) {}
 
     /**
-     * Place at which news entered the region, which decides who relays it.
+     * Place at which a change entered the region, which decides who relays it.
      *
      * @param region region that got the change from the store
      * @param zone availability zone in which this copy spreads
@@ -56,7 +56,7 @@
      * @param sender the node
      * @param revision its revision
      * @param baseId id of the change before the first one, or {@link #NO_ID}
-     * @param origin where news entered; ignored for a repair
+     * @param origin where the change entered; ignored for a repair
      * @param repair true for the response to a {@link ChangesRequest}
      * @param changes encoded changes
      */
--- a/kernel/src/main/java/org/arbutuslock/internal/membership/GossipProtocol.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/GossipProtocol.java
@@ -42,7 +42,7 @@
     private final PeerSelection mPeers;
     private final FailureDetector mDetector;
     private final AntiEntropy mAntiEntropy;
-    private final NewsSpreader mNews;
+    private final UpdateDissemination mUpdates;
     private final Deque<Long> mDrainRepeats = new ArrayDeque<>();
     private boolean mStarted;
     private boolean mLeft;
@@ -74,7 +74,7 @@
         long now = clock.nanoTime();
         mDetector = new FailureDetector(settings, mPeers, random, mOutbox, now);
         mAntiEntropy = new AntiEntropy(mTable, mPeers, mSeeds, random, mOutbox, clock);
-        mNews = new NewsSpreader(settings, mTable, mSelf, mPeers, mOutbox, clock);
+        mUpdates = new UpdateDissemination(settings, mTable, mSelf, mPeers, mOutbox, clock);
         mLastTickNanos = now;
         mLastReceivedNanos = now;
         mRevisionNanos = now;
@@ -192,7 +192,7 @@
      */
     public List<GossipAction> leave() {
         NodeRecord own = mSelf.record();
-        mNews.add(new Statement.Departed(Departure.of(own)), own.region(), false);
+        mUpdates.add(new Statement.Departed(Departure.of(own)), own.region(), false);
         List<GossipAction> actions = finish();
         mLeft = true;
         return actions;
@@ -208,7 +208,7 @@
     }
 
     private List<GossipAction> finish() {
-        mNews.flush();
+        mUpdates.flush();
         return mOutbox.take();
     }
 
@@ -247,7 +247,7 @@
         NodeRecord record = content.withVersion(Math.max(version, mSelf.version()) + 1);
         mTable.put(record);
         mOutbox.add(new GossipAction.Changed(record));
-        mNews.add(mSelf.statement(), record.region(), false);
+        mUpdates.add(mSelf.statement(), record.region(), false);
     }
 
     private void handle(GossipMessage.Delta delta, long now) {
@@ -259,7 +259,7 @@
                         && !mPeers.isOfOwnZone(sender);
         boolean small = delta.statements().size() <= SMALL_REPAIR;
         for (Statement statement : delta.statements()) {
-            // A joining node learns the whole fleet from repairs; none of it is news to others.
+            // A joining node learns the whole fleet from repairs; none of it is update to others.
             boolean spread = !delta.repair() || small || mTable.find(statement.node()) != null;
             if (apply(statement, false, now) && spread) {
                 spread(statement, fromZone);
@@ -270,11 +270,11 @@
     private void spread(Statement statement, boolean fromZone) {
         MemberEntry subject = mTable.find(statement.node());
         if (subject != null) {
-            mNews.add(statement, regionOf(subject), fromZone);
+            mUpdates.add(statement, regionOf(subject), fromZone);
         }
     }
 
-    /** Applies a statement and tells whether it is news. */
+    /** Applies a statement and tells whether it is update. */
     private boolean apply(Statement statement, boolean foundHere, long now) {
         MemberEntry entry = mTable.find(statement.node());
         if (entry == mSelf) {
--- a/kernel/src/main/java/org/arbutuslock/internal/membership/NewsSpreader.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/UpdateDissemination.java
@@ -8,11 +8,11 @@
 import org.arbutuslock.api.Clock;
 
 /**
- * Pushes news to random nodes of the availability zone and, on relays, to the other availability
- * zones and regions. A burst of news waits for the byte budget; a newer statement replaces an older
- * one of the same node that still waits.
+ * Pushes updates to random nodes of the availability zone and, on relays, to the other availability
+ * zones and regions. A burst of updates waits for the byte budget; a newer statement replaces an
+ * older one of the same node that still waits.
  */
-final class NewsSpreader {
+final class UpdateDissemination {
     // Half of the 7 KB/s that a node may send; the other half is for repairs and heartbeats.
     private static final int NEWS_BYTES_PER_SECOND = 3_500;
     private static final int NEWS_BURST_BYTES = 12_000;
@@ -26,10 +26,10 @@
     private final PeerSelection mPeers;
     private final Outbox mOutbox;
     private final ByteBudget mBudget;
-    private final Map<String, News> mWaiting = new LinkedHashMap<>();
+    private final Map<String, RecordUpdate> mWaiting = new LinkedHashMap<>();
     private boolean mUrgent;
 
-    NewsSpreader(
+    UpdateDissemination(
             GossipSettings settings,
             MembershipTable table,
             MemberEntry self,
@@ -45,15 +45,15 @@
     }
 
     /**
-     * Queues news.
+     * Queues an update.
      *
-     * @param statement the news
+     * @param statement the update
      * @param region region of the node that it is about
      * @param fromZone true when it came from another availability zone of this region, whose relays
      *     serve all zones of the region
      */
     void add(Statement statement, String region, boolean fromZone) {
-        mWaiting.put(statement.node(), new News(statement, region, fromZone));
+        mWaiting.put(statement.node(), new RecordUpdate(statement, region, fromZone));
         mUrgent |= isUrgent(statement);
     }
 
@@ -69,15 +69,15 @@
                 || statement instanceof Statement.Present(NodeRecord record) && record.draining();
     }
 
-    private List<News> takeUrgent() {
-        List<News> urgent = new ArrayList<>();
-        Iterator<News> waiting = mWaiting.values().iterator();
+    private List<RecordUpdate> takeUrgent() {
+        List<RecordUpdate> urgent = new ArrayList<>();
+        Iterator<RecordUpdate> waiting = mWaiting.values().iterator();
         int bytes = 0;
         while (waiting.hasNext() && bytes < MESSAGE_BYTES) {
-            News news = waiting.next();
-            if (isUrgent(news.statement())) {
-                urgent.add(news);
-                bytes += news.statement().estimatedBytes();
+            RecordUpdate update = waiting.next();
+            if (isUrgent(update.statement())) {
+                urgent.add(update);
+                bytes += update.statement().estimatedBytes();
                 waiting.remove();
             }
         }
@@ -85,35 +85,35 @@
         return urgent;
     }
 
-    private List<News> takeBatch() {
-        List<News> batch = new ArrayList<>();
-        Iterator<News> waiting = mWaiting.values().iterator();
+    private List<RecordUpdate> takeBatch() {
+        List<RecordUpdate> batch = new ArrayList<>();
+        Iterator<RecordUpdate> waiting = mWaiting.values().iterator();
         int limit = Math.min(MESSAGE_BYTES, mBudget.available() / mSettings.fanOut());
         int bytes = 0;
         while (waiting.hasNext() && (batch.isEmpty() || bytes < limit)) {
-            News news = waiting.next();
-            batch.add(news);
-            bytes += news.statement().estimatedBytes();
+            RecordUpdate update = waiting.next();
+            batch.add(update);
+            bytes += update.statement().estimatedBytes();
             waiting.remove();
         }
         return batch;
     }
 
-    private void send(List<News> batch) {
+    private void send(List<RecordUpdate> batch) {
         if (batch.isEmpty()) {
             return;
         }
         push(addresses(mPeers.ofOwnZone(mSettings.fanOut())), batch);
-        List<News> forZones = new ArrayList<>();
-        List<News> forRegions = new ArrayList<>();
+        List<RecordUpdate> forZones = new ArrayList<>();
+        List<RecordUpdate> forRegions = new ArrayList<>();
         String ownRegion = mSelf.record().region();
-        for (News news : batch) {
-            int salt = (int) Math.floorMod(news.statement().version(), PeerSelection.SALTS);
-            if (!news.fromZone() && mPeers.isZoneRelay(salt)) {
-                forZones.add(news);
+        for (RecordUpdate update : batch) {
+            int salt = Math.floorMod(update.statement().version(), PeerSelection.SALTS);
+            if (!update.fromZone() && mPeers.isZoneRelay(salt)) {
+                forZones.add(update);
             }
-            if (news.region().equals(ownRegion) && mPeers.isRegionRelay(salt)) {
-                forRegions.add(news);
+            if (update.region().equals(ownRegion) && mPeers.isRegionRelay(salt)) {
+                forRegions.add(update);
             }
         }
         if (!forZones.isEmpty()) {
@@ -144,8 +144,8 @@
         return targets;
     }
 
-    private void push(List<String> addresses, List<News> news) {
-        List<Statement> statements = news.stream().map(News::statement).toList();
+    private void push(List<String> addresses, List<RecordUpdate> updates) {
+        List<Statement> statements = updates.stream().map(RecordUpdate::statement).toList();
         int bytes =
                 mOutbox.send(
                         addresses, new GossipMessage.Delta(mOutbox.sender(), false, statements));
@@ -156,5 +156,5 @@
         return entries.stream().map(entry -> entry.record().peerAddress()).toList();
     }
 
-    private record News(Statement statement, String region, boolean fromZone) {}
+    private record RecordUpdate(Statement statement, String region, boolean fromZone) {}
 }
--- a/kernel/src/test/java/org/arbutuslock/internal/configuration/spread/ConfigurationSpreadTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/configuration/spread/ConfigurationSpreadTest.java
@@ -51,7 +51,7 @@
                                 new TenantDefinition("team-" + revision, 1))));
     }
 
-    private static SpreadMessage news(long revision) {
+    private static SpreadMessage pushed(long revision) {
         byte[] encoded = ConfigurationChangeCodec.encode(change(revision));
         return new SpreadMessage.Changes(
                 PEER, revision, SpreadMessage.NO_ID, ORIGIN, false, List.of(encoded));
@@ -71,17 +71,17 @@
 
     @Test
     public void should_apply_in_order_what_arrives_out_of_order() {
-        carryOut(mSpread.receive(news(3)));
-        carryOut(mSpread.receive(news(2)));
+        carryOut(mSpread.receive(pushed(3)));
+        carryOut(mSpread.receive(pushed(2)));
         assertEquals(mSpread.status().waitingChanges(), 2);
-        carryOut(mSpread.receive(news(1)));
+        carryOut(mSpread.receive(pushed(1)));
         assertEquals(mHolder.current().revision(), 3);
         assertEquals(mSpread.status().waitingChanges(), 0);
     }
 
     @Test
     public void should_refuse_a_malformed_change_and_show_it() {
-        carryOut(mSpread.receive(news(1)));
+        carryOut(mSpread.receive(pushed(1)));
         SpreadMessage malformed =
                 new SpreadMessage.Changes(
                         PEER, 2, SpreadMessage.NO_ID, ORIGIN, false, List.of(new byte[] {1}));
@@ -92,7 +92,7 @@
 
     @Test
     public void should_refuse_a_change_of_another_history() {
-        carryOut(mSpread.receive(news(1)));
+        carryOut(mSpread.receive(pushed(1)));
         SpreadMessage other =
                 new SpreadMessage.Changes(
                         PEER,
@@ -107,7 +107,7 @@
 
     @Test
     public void should_refuse_a_snapshot_below_the_announced_revision() {
-        carryOut(mSpread.receive(news(1)));
+        carryOut(mSpread.receive(pushed(1)));
         mClock.advance(Duration.ofSeconds(3));
         mSpread.tick();
         mSpread.receive(new SpreadMessage.Digest(PEER, 50, SpreadMessage.NO_ID, 41, 0, false));
