--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/announcements/AnnouncementHandler.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/announcements/AnnouncementHandler.java
@@ -10,17 +10,21 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
 import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.daemon.internal.home.Announcement;
 import org.arbutuslock.daemon.internal.home.LocalEndpoints;
 import org.arbutuslock.daemon.internal.http.SmallHttpServer;
 
 /**
  * Answers announcements: {@code PUT /.arbutuslock/announcements/NAME} with a JSON object of {@code
- * service}, {@code address} and {@code slots} announces or renews; {@code DELETE} of the same path
- * starts the departure.
+ * service}, {@code address} and {@code slots} announces or renews; {@code state} may be {@code
+ * draining}, and {@code born} and {@code sequence} order announcements that arrive late. {@code
+ * DELETE} of the same path starts the departure.
  */
 public final class AnnouncementHandler implements Function<FullHttpRequest, FullHttpResponse> {
     private static final String PATH = "/.arbutuslock/announcements/";
     private static final String NAME_PATTERN = "[A-Za-z0-9-]{1,63}";
+    private static final String READY = "ready";
+    private static final String DRAINING = "draining";
     private static final int MAXIMUM_SLOTS = 100_000;
     private static final int MAXIMUM_PORT = 65_535;
 
@@ -74,7 +78,18 @@
             if (address == null) {
                 return invalid("address", json.path("address").asText(), "IP:port");
             }
-            mEndpoints.announce(new EndpointId(service, name), address, slots);
+            String state = json.path("state").asText(READY);
+            if (!state.equals(READY) && !state.equals(DRAINING)) {
+                return invalid("state", state, READY + " or " + DRAINING);
+            }
+            mEndpoints.announce(
+                    new Announcement(
+                            new EndpointId(service, name),
+                            address,
+                            slots,
+                            state.equals(DRAINING),
+                            json.path("born").asLong(0),
+                            json.path("sequence").asLong(0)));
             return SmallHttpServer.text(200, "announced\n");
         } catch (JsonProcessingException malformed) {
             return SmallHttpServer.text(
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -26,11 +26,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.concurrent.ThreadLocalRandom;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.RouteDefinition;
 import org.arbutuslock.api.TenantDefinition;
 import org.arbutuslock.daemon.internal.exchange.HttpHeaderFields;
 import org.arbutuslock.internal.configuration.Configuration;
+import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 import org.arbutuslock.internal.messages.BufferedResponse;
@@ -136,7 +138,8 @@
                             new HeaderField("arbutuslock-outcome", "not-run")));
             return;
         }
-        CallerInput input = toInput(request, matched.get(), configuration);
+        RouteDefinition route = matched.get().resolve(ThreadLocalRandom.current().nextDouble());
+        CallerInput input = toInput(request, route, configuration);
         responder.attach(
                 new CallerRequest(mServices, mContext.channel().eventLoop(), input, responder));
     }
@@ -146,6 +149,10 @@
         RequestId id = mServer.nextRequestId();
         String method = request.method().name();
         String tenant = request.headers().get(TENANT_HEADER, "");
+        RequestDialect dialect = mServices.dialect();
+        long patience =
+                dialect.callerDeadlineMillis(name -> request.headers().get(name))
+                        .orElse(Long.MAX_VALUE);
         int weight = configuration.tenant(tenant).map(TenantDefinition::weight).orElse(1);
         return new CallerInput(
                 id,
@@ -153,10 +160,11 @@
                 RequestMethods.isIdempotent(route, method),
                 method,
                 request.uri(),
-                HttpHeaderFields.withoutConnection(request.headers()),
+                dialect.toForward(HttpHeaderFields.withoutConnection(request.headers())),
                 ByteBufUtil.getBytes(request.content()),
                 tenant,
-                weight);
+                weight,
+                Math.min(route.deadlineMillis(), patience));
     }
 
     private void finishRequest(boolean keepAlive) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerInput.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerInput.java
@@ -19,6 +19,7 @@
  * @param body whole body
  * @param tenant name of the tenant, or empty
  * @param tenantWeight weight of the tenant
+ * @param patienceMillis time from its arrival within which the request must be answered
  */
 record CallerInput(
         RequestId id,
@@ -29,7 +30,8 @@
         List<HeaderField> headers,
         byte[] body,
         String tenant,
-        int tenantWeight) {
+        int tenantWeight,
+        long patienceMillis) {
     /** Creates the request of one attempt. */
     ExecutionRequest toRequest(
             RequestId attemptId, FleetSnapshot.Member member, long deadlineNanos) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -58,6 +58,7 @@
     private String mLastRefusal = "no endpoint of the service is known";
     private String mLastUnknown = "";
     private int mAttempts;
+    private int mSends;
     private boolean mDone;
     private Optional<SentResponse> mSent = Optional.empty();
 
@@ -71,8 +72,7 @@
         mInput = input;
         mResponse = response;
         mStartNanos = services.clock().nanoTime();
-        mDeadlineNanos =
-                mStartNanos + TimeUnit.MILLISECONDS.toNanos(input.route().deadlineMillis());
+        mDeadlineNanos = mStartNanos + TimeUnit.MILLISECONDS.toNanos(input.patienceMillis());
     }
 
     /** Starts the first attempt. */
@@ -130,13 +130,21 @@
 
     private void retryOrElse(Runnable otherwise) {
         boolean timeLeft = mServices.clock().nanoTime() < mDeadlineNanos;
-        if (canStillComplete() && timeLeft && mServices.retries().allowRetry(route().service())) {
+        if (canStillComplete()
+                && timeLeft
+                && attemptsLeft()
+                && mServices.retries().allowRetry(route().service())) {
             startAttempt();
         } else {
             otherwise.run();
         }
     }
 
+    /** Tells whether the request may be sent to one more endpoint. */
+    private boolean attemptsLeft() {
+        return mSends < route().policy().maximumAttempts();
+    }
+
     /** Tells whether another execution could give the caller a whole response. */
     private boolean canStillComplete() {
         return mSent.isEmpty() || mInput.idempotent() && mSent.get().isContinuable();
@@ -145,6 +153,10 @@
     /** Tries another endpoint. Only retries after an overload take from the retry budget. */
     private void retryRefused(RefusalReason reason) {
         switch (reason) {
+            case NOT_EXECUTED -> {
+                mSends++;
+                retryOrElse(this::refuse);
+            }
             case QUEUE_FULL, DEADLINE, DISPLACED, LEDGER_FULL -> {
                 if (mServices.clock().nanoTime() - mStartNanos <= LATEST_RETRY_NANOS) {
                     retryOrElse(this::refuse);
@@ -200,7 +212,7 @@
             return;
         }
         mAttempt.ifPresent(Attempt::cancel);
-        String detail = "the deadline of " + route().deadlineMillis() + " ms passed";
+        String detail = "the deadline of " + mInput.patienceMillis() + " ms passed";
         mAttempt.ifPresent(attempt -> attempt.noteSubmitted(detail));
         if (mPossiblyRun.isEmpty()) {
             mLastRefusal = detail;
@@ -291,6 +303,7 @@
         private void noteSubmitted(String detail) {
             if (submission().isPresent() && !mPossiblyRun.contains(this)) {
                 mPossiblyRun.add(this);
+                mSends++;
             }
             mLastUnknown = detail;
         }
@@ -299,8 +312,10 @@
             boolean timeLeft = mServices.clock().nanoTime() < mDeadlineNanos;
             if (!mInput.idempotent()) {
                 askForOutcome();
-            } else if (canStillComplete() && timeLeft) {
-                // Not limited by the retry budget, since a lost session is no sign of overload.
+            } else if (canStillComplete()
+                    && timeLeft
+                    && attemptsLeft()
+                    && mServices.retries().allowResend(route().service())) {
                 startAttempt();
             } else {
                 reportUnknown(detail);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -24,6 +24,7 @@
 import org.arbutuslock.daemon.internal.sessions.PeerServer;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 import org.arbutuslock.internal.selection.RegionLinkBudget;
@@ -42,6 +43,8 @@
     // which a leaving server must get no new work.
     private static final Duration NOTICE = Duration.ofMillis(2_500);
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+    // For the steps of a shutdown that follow on the wait for requests.
+    private static final double STOP_MARGIN_SECONDS = 0.4;
     // Covers requests and responses that are on their way from one event loop to another.
     private static final Duration DRAIN_QUIET = Duration.ofMillis(100);
 
@@ -49,7 +52,7 @@
     private HomeService mHome;
     private PeerServer mPeers;
     private Clock mClock;
-    private int mDrainSeconds;
+    private double mDrainSeconds;
 
     /** Creates the plug-in; called by the service loader. */
     public CallersPlugin() {}
@@ -79,7 +82,12 @@
         mClock = context.require(Clock.class);
         mHome = context.require(HomeService.class);
         mPeers = context.require(PeerServer.class);
-        mDrainSeconds = settings.limits().drainSeconds();
+        mDrainSeconds =
+                Math.min(
+                        settings.limits().drainSeconds(),
+                        settings.bounds().stopSeconds()
+                                - NOTICE.toMillis() / 1_000.0
+                                - STOP_MARGIN_SECONDS);
         FleetEndpointChooser chooser =
                 new FleetEndpointChooser(
                         localNode,
@@ -100,7 +108,8 @@
                         new RetryMetrics(
                                 new ServiceRetryPolicy(mClock, configuration),
                                 context.require(MeterRegistry.class)),
-                        context.require(RequestMetrics.class));
+                        context.require(RequestMetrics.class),
+                        context.require(RequestDialect.class));
         NodeSettings.Callers callers = settings.callers();
         CallerLimits limits =
                 new CallerLimits(
@@ -124,7 +133,7 @@
         mHome.drain();
         mServer.closeListener();
         long start = mClock.nanoTime();
-        long limitNanos = Duration.ofSeconds(mDrainSeconds).toNanos();
+        long limitNanos = (long) (mDrainSeconds * 1e9);
         long lastBusyNanos = start;
         long now = start;
         while (now - lastBusyNanos < DRAIN_QUIET.toNanos()) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EntryServices.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EntryServices.java
@@ -5,6 +5,7 @@
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.membership.FleetSnapshot;
 
 /**
@@ -19,6 +20,7 @@
  * @param homeNodes reaches home nodes
  * @param retries retry budgets of the services
  * @param observer gets the result of each request
+ * @param dialect names of header fields
  */
 public record EntryServices(
         LocalNode localNode,
@@ -29,7 +31,8 @@
         Supplier<FleetSnapshot> fleet,
         HomeNodes homeNodes,
         RetryPolicy retries,
-        RequestObserver observer) {
+        RequestObserver observer,
+        RequestDialect dialect) {
     // A starting node gets the records of the fleet within a few round trips.
     private static final long STARTING_NANOS = Duration.ofSeconds(2).toNanos();
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
@@ -11,7 +11,6 @@
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RouteDefinition;
-import org.arbutuslock.api.ServiceDefinition;
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.internal.configuration.Configuration;
@@ -177,7 +176,7 @@
             int floor =
                     configuration
                             .service(service)
-                            .map(ServiceDefinition::requiredEndpoints)
+                            .map(defined -> defined.requiredEndpoints(mMembers.size()))
                             .orElse(0);
             mCandidates = new CandidateSet(candidates, floor);
         }
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollower.java
@@ -0,0 +1,127 @@
+package org.arbutuslock.daemon.internal.configuration;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Result;
+import org.arbutuslock.api.store.ListResult;
+import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.api.store.StoreEntry;
+import org.arbutuslock.api.store.WatchListener;
+import org.arbutuslock.internal.configuration.ApplyResult;
+import org.arbutuslock.internal.configuration.Configuration;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.dialect.ConfigurationDialect;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+
+/**
+ * Follows a whole configuration under one key of the platform's store. What cannot be read leaves
+ * the configuration in force as it is. Confined to one event loop.
+ */
+final class ConfigurationFollower {
+    private static final EventLogger LOGGER = EventLogger.forComponent("configuration");
+    // A node may lag behind an accepted change by 2.5 s; a failed read leaves time for several.
+    private static final long FIRST_PAUSE_MILLIS = 100;
+    private static final long LONGEST_PAUSE_MILLIS = 800;
+
+    private final PlatformStore mStore;
+    private final ConfigurationDialect mDialect;
+    private final ConfigurationHolder mHolder;
+    private final double mFloorShare;
+    private final EventLoop mEventLoop;
+    private long mPauseMillis = FIRST_PAUSE_MILLIS;
+    private boolean mStopped;
+
+    ConfigurationFollower(
+            PlatformStore store,
+            ConfigurationDialect dialect,
+            ConfigurationHolder holder,
+            double floorShare,
+            EventLoop eventLoop) {
+        mStore = store;
+        mDialect = dialect;
+        mHolder = holder;
+        mFloorShare = floorShare;
+        mEventLoop = eventLoop;
+    }
+
+    void start() {
+        mEventLoop.execute(this::read);
+    }
+
+    void stop() {
+        mStopped = true;
+    }
+
+    private void read() {
+        if (mStopped) {
+            return;
+        }
+        mStore.list(mDialect.key(), "", 1)
+                .thenAccept(result -> mEventLoop.execute(() -> handle(result)));
+    }
+
+    private void handle(ListResult result) {
+        switch (result) {
+            case ListResult.Page(List<StoreEntry> entries, boolean more, long revision) -> {
+                mPauseMillis = FIRST_PAUSE_MILLIS;
+                entries.forEach(this::take);
+                mStore.watch(mDialect.key(), revision, new Follower());
+            }
+            case ListResult.Unavailable unavailable -> readLater();
+        }
+    }
+
+    private void readLater() {
+        long jitter = ThreadLocalRandom.current().nextLong(mPauseMillis);
+        mEventLoop.schedule(this::read, mPauseMillis + jitter, TimeUnit.MILLISECONDS);
+        mPauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * mPauseMillis);
+    }
+
+    private void take(StoreEntry entry) {
+        if (!entry.key().equals(mDialect.key())) {
+            return;
+        }
+        long before = mHolder.current().revision();
+        switch (mDialect.read(entry.value(), mFloorShare)) {
+            case Result.Success<Configuration>(Configuration configuration) ->
+                    report(mHolder.apply(configuration), before, entry);
+            case Result.Failed<Configuration>(var failure) ->
+                    LOGGER.log(Event.CHANGE_UNPARSABLE, entry.key(), failure, before);
+        }
+    }
+
+    private static void report(ApplyResult result, long before, StoreEntry entry) {
+        switch (result) {
+            case ApplyResult.Applied(long revision) ->
+                    LOGGER.log(
+                            Event.CONFIGURATION_IN_FORCE, revision, before, entry.storeRevision());
+            case ApplyResult.AlreadyApplied same -> {}
+            default -> LOGGER.log(Event.CONFIGURATION_REFUSED, entry.key(), before, result);
+        }
+    }
+
+    private final class Follower implements WatchListener {
+        @Override
+        public void written(StoreEntry entry) {
+            mEventLoop.execute(() -> take(entry));
+        }
+
+        @Override
+        public void deleted(String key, long storeRevision) {
+            LOGGER.log(
+                    Event.CONFIGURATION_REFUSED,
+                    key,
+                    mHolder.current().revision(),
+                    "the key was deleted at store revision " + storeRevision);
+        }
+
+        @Override
+        public void ended(String reason) {
+            LOGGER.log(Event.CONFIGURATION_WATCH_ENDED, reason);
+            mEventLoop.execute(ConfigurationFollower.this::readLater);
+        }
+    }
+}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationPlugin.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -13,12 +12,9 @@
 import org.arbutuslock.api.PluginException;
 import org.arbutuslock.api.store.PlatformStore;
 import org.arbutuslock.daemon.internal.eventloops.EventLoopsPlugin;
-import org.arbutuslock.daemon.internal.store.GrpcPlatformStore;
-import org.arbutuslock.daemon.internal.store.MonitoredStore;
-import org.arbutuslock.daemon.internal.store.StoreClientSettings;
+import org.arbutuslock.daemon.internal.store.GrpcStorePlugin;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.configuration.ConfigurationLog;
-import org.arbutuslock.internal.settings.NodeSettings;
 
 /**
  * Provides the configuration in force and the log of changes in the platform's store. {@link
@@ -28,8 +24,6 @@
     /** Name of this plug-in. */
     public static final String NAME = "configuration";
 
-    private MonitoredStore mStore;
-
     /** Creates the plug-in; called by the service loader. */
     public ConfigurationPlugin() {}
 
@@ -40,7 +34,7 @@
 
     @Override
     public Set<String> requires() {
-        return Set.of(EventLoopsPlugin.NAME);
+        return Set.of(EventLoopsPlugin.NAME, GrpcStorePlugin.NAME);
     }
 
     @Override
@@ -49,41 +43,19 @@
         EventLoop eventLoop = context.require(EventLoopGroup.class).next();
         // Jitter only; nothing that a check depends on is decided by it.
         RandomGenerator jitter = () -> ThreadLocalRandom.current().nextLong();
-        mStore =
-                new MonitoredStore(
-                        new GrpcPlatformStore(
-                                clientSettings(context.require(NodeSettings.class).store()),
-                                clock,
-                                jitter),
-                        clock);
         ConfigurationHolder holder = new ConfigurationHolder();
         ConfigurationLog log =
                 new ConfigurationLog(
-                        mStore,
+                        context.require(PlatformStore.class),
                         holder,
                         clock,
                         (delay, task) ->
                                 eventLoop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS),
                         jitter);
-        context.provide(PlatformStore.class, mStore);
-        context.provide(MonitoredStore.class, mStore);
         context.provide(ConfigurationHolder.class, holder);
         context.provide(ConfigurationLog.class, log);
     }
 
-    private static StoreClientSettings clientSettings(NodeSettings.Store settings) {
-        StoreClientSettings defaults = StoreClientSettings.withDefaults(settings.address());
-        return new StoreClientSettings(
-                settings.address(),
-                Duration.ofMillis(settings.timeoutMillis()),
-                settings.callsPerSecond(),
-                defaults.initialBackoff(),
-                defaults.maximumBackoff(),
-                defaults.watchSilence());
-    }
-
     @Override
-    public void stop() {
-        mStore.close();
-    }
+    public void stop() {}
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationSpreadPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationSpreadPlugin.java
@@ -28,6 +28,7 @@
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 import org.arbutuslock.internal.messages.PeerMessage;
+import org.arbutuslock.internal.settings.NodeSettings;
 
 /**
  * Keeps the configuration up to date: follows the change log while this node is a watcher of its
@@ -55,6 +56,11 @@
         return Set.of(ConfigurationPlugin.NAME, FleetPlugin.NAME, MetricsPlugin.NAME);
     }
 
+    @Override
+    public boolean isSelected(PluginContext context) throws PluginException {
+        return context.require(NodeSettings.class).integration() == NodeSettings.Integration.NONE;
+    }
+
     @Override
     public void start(PluginContext context) throws PluginException {
         EventLoop eventLoop = context.require(EventLoopGroup.class).next();
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/FollowedConfigurationPlugin.java
@@ -0,0 +1,56 @@
+package org.arbutuslock.daemon.internal.configuration;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.Set;
+import org.arbutuslock.api.Plugin;
+import org.arbutuslock.api.PluginContext;
+import org.arbutuslock.api.PluginException;
+import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.daemon.internal.store.GrpcStorePlugin;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.dialect.ConfigurationDialect;
+import org.arbutuslock.internal.settings.NodeSettings;
+
+/** Follows the configuration that the operators of a platform write into its store. */
+public final class FollowedConfigurationPlugin implements Plugin {
+    /** Name of this plug-in. */
+    public static final String NAME = "followed-configuration";
+
+    private ConfigurationFollower mFollower;
+
+    /** Creates the plug-in; called by the service loader. */
+    public FollowedConfigurationPlugin() {}
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Set<String> requires() {
+        return Set.of(ConfigurationPlugin.NAME, GrpcStorePlugin.NAME);
+    }
+
+    @Override
+    public boolean isSelected(PluginContext context) throws PluginException {
+        return context.require(NodeSettings.class).integration()
+                == NodeSettings.Integration.PLATFORM;
+    }
+
+    @Override
+    public void start(PluginContext context) throws PluginException {
+        mFollower =
+                new ConfigurationFollower(
+                        context.require(PlatformStore.class),
+                        context.require(ConfigurationDialect.class),
+                        context.require(ConfigurationHolder.class),
+                        context.require(NodeSettings.class).bounds().floorShare(),
+                        context.require(EventLoopGroup.class).next());
+        mFollower.start();
+    }
+
+    @Override
+    public void stop() {
+        mFollower.stop();
+    }
+}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EjectionPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EjectionPlugin.java
@@ -26,15 +26,15 @@
 import org.arbutuslock.internal.ejection.EjectionSettings;
 import org.arbutuslock.internal.ejection.PledgeEnvelopeCodec;
 import org.arbutuslock.internal.messages.PeerMessage;
+import org.arbutuslock.internal.settings.NodeSettings;
 
 /** Takes sick backend servers of this host out of service as far as the floor allows. */
 public final class EjectionPlugin implements Plugin {
     /** Name of this plug-in. */
     public static final String NAME = "ejection";
 
-    // Half a second below the 3 s within which a leaving server must get no new work, for the tick
-    // and for requests on their way.
-    private static final Duration DEPARTURE_NOTICE = Duration.ofMillis(2_500);
+    // For the tick and for requests on their way.
+    private static final long DEPARTURE_MARGIN_MILLIS = 500;
 
     private EndpointGuards mGuards;
     private Future<?> mTicks;
@@ -61,7 +61,7 @@
                 new EndpointGuards(
                         eventLoop,
                         context.require(Clock.class),
-                        EjectionSettings.standard().withDepartureNotice(DEPARTURE_NOTICE),
+                        EjectionSettings.standard().withDepartureNotice(departureNotice(context)),
                         context.require(LocalNode.class),
                         endpoints,
                         context.require(FleetDirectory.class)::current,
@@ -89,6 +89,11 @@
         context.provide(EndpointGuards.class, mGuards);
     }
 
+    private static Duration departureNotice(PluginContext context) throws PluginException {
+        double seconds = context.require(NodeSettings.class).bounds().departureSeconds();
+        return Duration.ofMillis(Math.max(0, (long) (seconds * 1_000) - DEPARTURE_MARGIN_MILLIS));
+    }
+
     @Override
     public void drain() {
         mGuards.departAll();
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EndpointGuards.java
@@ -12,7 +12,6 @@
 import java.util.function.Supplier;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.EndpointId;
-import org.arbutuslock.api.ServiceDefinition;
 import org.arbutuslock.daemon.internal.home.EndpointRuntime;
 import org.arbutuslock.daemon.internal.home.HomeService;
 import org.arbutuslock.daemon.internal.home.LocalEndpoints;
@@ -167,7 +166,9 @@
         }
         List<EndpointId> others = others(guard.id());
         guard.remember(fleet, configuration, others);
-        apply(guard, guard.coordinator().updateService(others, floor(guard.id())));
+        apply(
+                guard,
+                guard.coordinator().updateService(others, floor(guard.id(), others.size() + 1)));
     }
 
     /**
@@ -225,11 +226,11 @@
                 .toList();
     }
 
-    private int floor(EndpointId self) {
+    private int floor(EndpointId self, int known) {
         return mConfiguration
                 .current()
                 .service(self.service())
-                .map(ServiceDefinition::requiredEndpoints)
+                .map(service -> service.requiredEndpoints(known))
                 // Without a configuration the floor is not known, so that nobody may leave.
                 .orElse(Integer.MAX_VALUE);
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/FleetPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/FleetPlugin.java
@@ -62,6 +62,7 @@
         endpoints.addListener(change -> mRunner.update());
         mRunner.start();
         context.provide(FleetDirectory.class, directory);
+        context.provide(FleetContacts.class, mRunner);
     }
 
     private static GossipProtocol createProtocol(PluginContext context) throws PluginException {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/GossipRunner.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/fleet/GossipRunner.java
@@ -20,7 +20,7 @@
 import org.arbutuslock.internal.messages.PeerMessage;
 
 /** Runs the membership protocol on one event loop and carries out its actions. */
-final class GossipRunner {
+final class GossipRunner implements FleetContacts {
     private static final EventLogger LOGGER = EventLogger.forComponent("fleet");
     private static final Duration STOP_LIMIT = Duration.ofMillis(500);
 
@@ -57,6 +57,11 @@
         mEventLoop.execute(this::updateNow);
     }
 
+    @Override
+    public void contact(String address) {
+        mEventLoop.execute(() -> carryOut(mProtocol.contact(address)));
+    }
+
     /** Announces that this node shuts down. Any thread. */
     void drain() {
         mEventLoop.execute(() -> carryOut(mProtocol.drain()));
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -15,9 +15,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 import java.util.function.Consumer;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.daemon.internal.exchange.HttpHeaderFields;
+import org.arbutuslock.internal.dialect.RequestDialect;
+import org.arbutuslock.internal.dialect.ResponseVerdict;
 import org.arbutuslock.internal.messages.HeaderField;
 
 /**
@@ -25,15 +28,20 @@
  * after a complete response. Confined to its event loop.
  */
 final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
-    private static final String REQUEST_ID_HEADER = "arbutuslock-request-id";
-    private static final String DEADLINE_HEADER = "arbutuslock-deadline-millis";
-
+    private final RequestDialect mDialect;
+    private List<HeaderField> mRequestHeaders = List.of();
+    private ResponseVerdict mVerdict = ResponseVerdict.ANSWER;
+    private boolean mEndsWithConnection;
     private Channel mChannel;
     private Consumer<BackendEvent> mListener;
     private boolean mReusable = true;
     private boolean mHeadRequest;
     private long mIdleSinceNanos;
 
+    BackendConnection(RequestDialect dialect) {
+        mDialect = dialect;
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
@@ -71,8 +79,12 @@
         for (HeaderField field : request.headers()) {
             message.headers().add(field.name(), field.value());
         }
-        message.headers().set(REQUEST_ID_HEADER, request.id().withAttempt(0).format());
-        message.headers().set(DEADLINE_HEADER, remainingMillis);
+        mRequestHeaders = request.headers();
+        String backendServer = request.endpoint().backendServer();
+        for (HeaderField field :
+                mDialect.forBackend(request.id(), backendServer, remainingMillis)) {
+            message.headers().set(field.name(), field.value());
+        }
         if (request.body().length > 0 || !HttpMethod.GET.name().equals(request.method())) {
             HttpUtil.setContentLength(message, request.body().length);
         }
@@ -114,17 +126,26 @@
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return false;
         }
+        mVerdict =
+                mDialect.judge(
+                        mRequestHeaders,
+                        response.status().code(),
+                        name -> response.headers().get(name));
+        if (mVerdict == ResponseVerdict.NOT_GENUINE) {
+            fail("the response is not one of the backend server");
+            return false;
+        }
         boolean hasEnd =
                 mHeadRequest
                         || response.status().code() == 204
                         || response.status().code() == 304
                         || HttpUtil.isContentLengthSet(response)
                         || HttpUtil.isTransferEncodingChunked(response);
-        if (!hasEnd) {
-            fail("the response has neither a length nor chunks, so that its end is not known");
-            return false;
+        mEndsWithConnection = !hasEnd;
+        mReusable = hasEnd && HttpUtil.isKeepAlive(response);
+        if (mVerdict != ResponseVerdict.ANSWER) {
+            return true;
         }
-        mReusable = HttpUtil.isKeepAlive(response);
         emit(
                 new BackendEvent.Head(
                         response.status().code(),
@@ -134,6 +155,10 @@
 
     private void readBody(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
+        if (mVerdict != ResponseVerdict.ANSWER) {
+            skipBody(last);
+            return;
+        }
         if (!last && !content.content().isReadable()) {
             return;
         }
@@ -147,6 +172,25 @@
         }
     }
 
+    /** Skips a response that is not the answer to the request. */
+    private void skipBody(boolean last) {
+        if (!last) {
+            return;
+        }
+        ResponseVerdict verdict = mVerdict;
+        mVerdict = ResponseVerdict.ANSWER;
+        if (verdict == ResponseVerdict.OTHER_REQUEST) {
+            // A late second response to an earlier request; the expected one may follow.
+            mReusable = false;
+            return;
+        }
+        Consumer<BackendEvent> listener = mListener;
+        mListener = null;
+        if (listener != null) {
+            listener.accept(new BackendEvent.NotExecuted(verdict == ResponseVerdict.OTHER_SERVER));
+        }
+    }
+
     private void emit(BackendEvent event) {
         if (mListener != null) {
             mListener.accept(event);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnectionPool.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnectionPool.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.Result;
+import org.arbutuslock.internal.dialect.RequestDialect;
 
 /** Idle connections to one backend server. Confined to one event loop. */
 final class BackendConnectionPool {
@@ -26,12 +27,15 @@
     // non-idempotent request that means an unknown outcome, and a new connection costs about 1 ms.
     private static final long NON_IDEMPOTENT_IDLE_LIMIT_NANOS = Duration.ofSeconds(1).toNanos();
 
+    private final RequestDialect mDialect;
     private final EventLoop mEventLoop;
     private final Clock mClock;
     private final InetSocketAddress mAddress;
     private final Deque<BackendConnection> mIdle = new ArrayDeque<>();
 
-    BackendConnectionPool(EventLoop eventLoop, Clock clock, InetSocketAddress address) {
+    BackendConnectionPool(
+            EventLoop eventLoop, Clock clock, InetSocketAddress address, RequestDialect dialect) {
+        mDialect = dialect;
         mEventLoop = eventLoop;
         mClock = clock;
         mAddress = address;
@@ -44,7 +48,7 @@
             receiver.accept(Result.success(idle));
             return;
         }
-        BackendConnection connection = new BackendConnection();
+        BackendConnection connection = new BackendConnection(mDialect);
         ChannelFuture connecting =
                 new Bootstrap()
                         .group(mEventLoop)
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendEvent.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendEvent.java
@@ -11,6 +11,9 @@
     /** Part of the response body; {@code last} when length or chunk end were as announced. */
     record Body(byte[] data, boolean last) implements BackendEvent {}
 
+    /** The backend server did not execute the request and never will. */
+    record NotExecuted(boolean otherServer) implements BackendEvent {}
+
     /** The connection broke or the response is malformed. */
     record Broken(String reason) implements BackendEvent {}
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -18,6 +18,7 @@
 import org.arbutuslock.internal.admission.Rejection;
 import org.arbutuslock.internal.admission.Ticket;
 import org.arbutuslock.internal.detection.ServiceTimer;
+import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.selection.LoadReport;
 
@@ -32,6 +33,7 @@
     private final EventLoop mEventLoop;
     private final AdmissionController<HomeExchange> mAdmission;
     private final BackendConnectionPool mPool;
+    private final RequestDialect mDialect;
     private final ServiceTimer mServiceTimer;
     private final ObservationListener mObservations;
     private final AtomicLongArray mRefusals = new AtomicLongArray(RefusalReason.values().length);
@@ -49,6 +51,7 @@
      * @param eventLoop event loop to which the endpoint is confined
      * @param clock time of admission and connections
      * @param observations gets the evidence of finished requests
+     * @param dialect names of header fields
      */
     public EndpointRuntime(
             EndpointId id,
@@ -56,13 +59,15 @@
             AdmissionSettings admission,
             EventLoop eventLoop,
             Clock clock,
-            ObservationListener observations) {
+            ObservationListener observations,
+            RequestDialect dialect) {
         mId = id;
         mAddress = address;
         mSlots = admission.slots();
         mEventLoop = eventLoop;
         mAdmission = new AdmissionController<>(clock, admission);
-        mPool = new BackendConnectionPool(eventLoop, clock, address);
+        mPool = new BackendConnectionPool(eventLoop, clock, address, dialect);
+        mDialect = dialect;
         mServiceTimer = new ServiceTimer(admission.slots(), clock);
         mObservations = observations;
     }
@@ -208,7 +213,8 @@
 
     private void rememberForProbes(ExecutionRequest request) {
         boolean suitable =
-                request.idempotent()
+                mDialect.mayRepeatAsProbe()
+                        && request.idempotent()
                         && request.workClass() == WorkClass.SHORT
                         && request.method().equals("GET");
         if (suitable) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -137,6 +137,7 @@
                 emit(new ResponseEvent.Head(status, headers, mEndpoint.load()));
             }
             case BackendEvent.Body(byte[] data, boolean last) -> handleBody(data, last);
+            case BackendEvent.NotExecuted(boolean otherServer) -> refuseDispatched(otherServer);
             case BackendEvent.Broken(String reason) -> {
                 failDispatched(reason, Outcome.TRUNCATED);
             }
@@ -181,6 +182,21 @@
         mEndpoint.finished(this, toCompletion(classify(mStatus)));
     }
 
+    /** Refuses a request that the backend server says it did not execute. */
+    private void refuseDispatched(boolean otherServer) {
+        finish();
+        mObservation.ifPresent(observation -> observation.ended(Outcome.REFUSED));
+        mRecord.refuseDispatched(RefusalReason.NOT_EXECUTED);
+        mEndpoint.countRefusal(RefusalReason.NOT_EXECUTED);
+        mEndpoint.release(mConnection);
+        String detail =
+                otherServer
+                        ? "another backend server has the address"
+                        : "the backend server did not execute the request";
+        emit(new ResponseEvent.Refused(RefusalReason.NOT_EXECUTED, detail, mEndpoint.load()));
+        mEndpoint.finished(this, Completion.SHED);
+    }
+
     private void failDispatched(String reason, Outcome outcome) {
         finish();
         mObservation.ifPresent(observation -> observation.ended(outcome));
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomePlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomePlugin.java
@@ -1,6 +1,7 @@
 package org.arbutuslock.daemon.internal.home;
 
 import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -9,10 +10,12 @@
 import org.arbutuslock.api.PluginContext;
 import org.arbutuslock.api.PluginException;
 import org.arbutuslock.daemon.internal.announcements.AnnouncementHandler;
+import org.arbutuslock.daemon.internal.dialect.OwnDialectPlugin;
 import org.arbutuslock.daemon.internal.eventloops.EventLoopsPlugin;
 import org.arbutuslock.daemon.internal.http.SmallHttpServer;
 import org.arbutuslock.daemon.internal.sessions.HomeNode;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
+import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.execution.ExecutionLedger;
 import org.arbutuslock.internal.execution.LedgerLimits;
 import org.arbutuslock.internal.settings.NodeSettings;
@@ -38,7 +41,7 @@
 
     @Override
     public Set<String> requires() {
-        return Set.of(EventLoopsPlugin.NAME);
+        return Set.of(EventLoopsPlugin.NAME, OwnDialectPlugin.NAME);
     }
 
     @Override
@@ -52,7 +55,10 @@
                         clock,
                         eventLoops,
                         observations,
-                        settings.limits().queueLengthPerEndpoint());
+                        settings.limits().queueLengthPerEndpoint(),
+                        context.require(RequestDialect.class),
+                        Duration.ofMillis(
+                                (long) (settings.announcements().leaseSeconds() * 1_000)));
         long incarnation = context.require(LocalNode.class).incarnation();
         ExecutionLedger ledger = new ExecutionLedger(clock, incarnation, limits(settings.limits()));
         mHome = new HomeService(clock, ledger, endpoints);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.internal.admission.AdmissionSettings;
+import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.ejection.EndpointState;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
@@ -22,12 +24,14 @@
  * safe.
  */
 public final class LocalEndpoints implements EndpointStates {
-    /** Time after which an announcement that is not renewed lapses. */
-    public static final Duration ANNOUNCEMENT_LEASE = Duration.ofSeconds(3);
-
     private static final EventLogger LOGGER = EventLogger.forComponent("endpoints");
     private static final int WHOLE_PERCENT = 100;
 
+    private final RequestDialect mDialect;
+    private final long mLeaseNanos;
+    // By address, since a late announcement may name a predecessor of the server that has it now.
+    private final Map<InetSocketAddress, Announcement> mLatest = new ConcurrentHashMap<>();
+    private final Set<Life> mDeparted = ConcurrentHashMap.newKeySet();
     private final Clock mClock;
     private final EventLoopGroup mEventLoops;
     private final ObservationListener mObservations;
@@ -43,12 +47,18 @@
      * @param eventLoops event loops to which endpoints are confined
      * @param observations gets the evidence of finished requests
      * @param queueLength most requests that wait for one endpoint
+     * @param dialect names of header fields
+     * @param lease time after which an announcement that is not renewed lapses
      */
     public LocalEndpoints(
             Clock clock,
             EventLoopGroup eventLoops,
             ObservationListener observations,
-            int queueLength) {
+            int queueLength,
+            RequestDialect dialect,
+            Duration lease) {
+        mDialect = dialect;
+        mLeaseNanos = lease.toNanos();
         mQueueLength = queueLength;
         mClock = clock;
         mEventLoops = eventLoops;
@@ -73,6 +83,43 @@
         mListeners.add(listener);
     }
 
+    /**
+     * Takes an announcement: adds, renews or replaces an endpoint, or starts its departure. One
+     * that arrives after a newer one of the same address changes nothing.
+     *
+     * @param announcement what the backend server says
+     */
+    public synchronized void announce(Announcement announcement) {
+        Announcement latest = mLatest.get(announcement.address());
+        EndpointId id = announcement.id();
+        if (latest != null && announcement.isOlderThan(latest)) {
+            LOGGER.log(Event.ANNOUNCEMENT_IGNORED, id, "it is older than one of " + latest.id());
+            return;
+        }
+        mLatest.put(announcement.address(), announcement);
+        removeReplaced(announcement, latest);
+        Life life = new Life(id, announcement.startMillis());
+        if (announcement.draining()) {
+            if (mEntries.containsKey(id)) {
+                announce(id, announcement.address(), announcement.slots());
+                depart(id.backendServer());
+            }
+            mDeparted.add(life);
+        } else if (!mDeparted.contains(life)) {
+            announce(id, announcement.address(), announcement.slots());
+        }
+    }
+
+    private void removeReplaced(Announcement announcement, Announcement latest) {
+        if (latest == null) {
+            return;
+        }
+        boolean restarted = latest.startMillis() != announcement.startMillis();
+        if (restarted || !latest.id().equals(announcement.id())) {
+            remove(latest.id(), "was replaced by " + announcement.id());
+        }
+    }
+
     /**
      * Adds an endpoint or renews its announcement.
      *
@@ -98,7 +145,8 @@
                         AdmissionSettings.forSlots(slots).withQueueCapacity(mQueueLength),
                         mEventLoops.next(),
                         mClock,
-                        mObservations);
+                        mObservations,
+                        mDialect);
         mEntries.put(id, new Entry(runtime, mClock.nanoTime()));
         mHome.addEndpoint(runtime);
         LOGGER.log(Event.ENDPOINT_ANNOUNCED, id, address, slots);
@@ -117,6 +165,11 @@
                 mEntries.keySet().stream()
                         .filter(id -> id.backendServer().equals(backendServer))
                         .toList();
+        for (Announcement latest : mLatest.values()) {
+            if (latest.id().backendServer().equals(backendServer)) {
+                mDeparted.add(new Life(latest.id(), latest.startMillis()));
+            }
+        }
         departing.forEach(id -> notifyListeners(new Change.Departing(id)));
         return departing.size();
     }
@@ -127,7 +180,7 @@
         List<EndpointId> lapsed = new ArrayList<>();
         mEntries.forEach(
                 (id, entry) -> {
-                    if (now - entry.mRenewedNanos > ANNOUNCEMENT_LEASE.toNanos()) {
+                    if (now - entry.mRenewedNanos > mLeaseNanos) {
                         lapsed.add(id);
                     }
                 });
@@ -249,6 +302,9 @@
         void changed(Change change);
     }
 
+    /** One run of a backend server. */
+    private record Life(EndpointId id, long startMillis) {}
+
     private static final class Entry {
         private final EndpointRuntime mRuntime;
         private volatile long mRenewedNanos;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/MetricsPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/MetricsPlugin.java
@@ -22,6 +22,7 @@
 import org.arbutuslock.daemon.internal.http.SmallHttpServer;
 import org.arbutuslock.daemon.internal.sessions.SessionCounts;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
+import org.arbutuslock.daemon.internal.store.GrpcStorePlugin;
 import org.arbutuslock.daemon.internal.store.MonitoredStore;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.settings.NodeSettings;
@@ -51,7 +52,11 @@
 
     @Override
     public Set<String> requires() {
-        return Set.of(ConfigurationPlugin.NAME, HomePlugin.NAME, SessionsPlugin.NAME);
+        return Set.of(
+                GrpcStorePlugin.NAME,
+                ConfigurationPlugin.NAME,
+                HomePlugin.NAME,
+                SessionsPlugin.NAME);
     }
 
     @Override
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OperatorsPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OperatorsPlugin.java
@@ -58,6 +58,11 @@
                 MetricsPlugin.NAME);
     }
 
+    @Override
+    public boolean isSelected(PluginContext context) throws PluginException {
+        return context.require(NodeSettings.class).integration() == NodeSettings.Integration.NONE;
+    }
+
     @Override
     public void start(PluginContext context) throws PluginException {
         NodeSettings settings = context.require(NodeSettings.class);
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/rendezvous/StoreRendezvous.java
@@ -0,0 +1,190 @@
+package org.arbutuslock.daemon.internal.rendezvous;
+
+import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.arbutuslock.api.store.LeaseResult;
+import org.arbutuslock.api.store.ListResult;
+import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.api.store.StoreEntry;
+import org.arbutuslock.api.store.WriteResult;
+import org.arbutuslock.daemon.internal.fleet.FleetContacts;
+import org.arbutuslock.daemon.internal.sessions.LocalNode;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.membership.FleetSnapshot;
+
+/**
+ * Writes the address of this node under a lease into the platform's store and contacts some of the
+ * nodes that are listed there. Membership itself is the business of the membership protocol, so
+ * that nobody leaves because the store is away. Confined to one event loop.
+ */
+final class StoreRendezvous {
+    /** Start of the keys under which nodes are listed, followed by the name of the node. */
+    static final String PREFIX = "arbutuslock/nodes/";
+
+    private static final EventLogger LOGGER = EventLogger.forComponent("rendezvous");
+    private static final int PAGE = 500;
+    // Three contacts give a joining node one that lives, even when a third of the list is stale.
+    private static final int CONTACTS = 3;
+    // An entry outlives its node by at most this; contacts of dead nodes fail without harm.
+    private static final Duration LEASE = Duration.ofSeconds(30);
+    // An entry that was revoked is back within this after the store serves its node again.
+    private static final long RENEWAL_MILLIS = 1_500;
+    private static final long RETRY_MILLIS = 400;
+    // Parts of the fleet that lost each other meet again within this.
+    private static final long LIST_NANOS = Duration.ofSeconds(20).toNanos();
+    // A node that knows only itself serves nobody else's endpoints.
+    private static final long LONELY_LIST_NANOS = Duration.ofMillis(700).toNanos();
+
+    private final PlatformStore mStore;
+    private final LocalNode mLocalNode;
+    private final FleetContacts mContacts;
+    private final Supplier<FleetSnapshot> mFleet;
+    private final org.arbutuslock.api.Clock mClock;
+    private final EventLoop mEventLoop;
+    private long mLease = PlatformStore.NO_LEASE;
+    private boolean mRegistered;
+    private boolean mListed;
+    private long mListedNanos;
+    private boolean mStopped;
+
+    StoreRendezvous(
+            PlatformStore store,
+            LocalNode localNode,
+            FleetContacts contacts,
+            Supplier<FleetSnapshot> fleet,
+            org.arbutuslock.api.Clock clock,
+            EventLoop eventLoop) {
+        mStore = store;
+        mLocalNode = localNode;
+        mContacts = contacts;
+        mFleet = fleet;
+        mClock = clock;
+        mEventLoop = eventLoop;
+    }
+
+    void start() {
+        mEventLoop.execute(this::step);
+    }
+
+    void stop() {
+        mStopped = true;
+    }
+
+    private void step() {
+        if (mStopped) {
+            return;
+        }
+        if (mLease == PlatformStore.NO_LEASE) {
+            mStore.grantLease(LEASE).thenAccept(onEventLoop(this::leaseGranted));
+        } else if (!mRegistered) {
+            register(StoreEntry.ABSENT_VERSION);
+        } else if (listIsDue()) {
+            mStore.list(PREFIX, "", PAGE).thenAccept(onEventLoop(this::listed));
+        } else {
+            mStore.renewLease(mLease).thenAccept(onEventLoop(this::renewed));
+        }
+    }
+
+    private <T> java.util.function.Consumer<T> onEventLoop(java.util.function.Consumer<T> step) {
+        return result -> mEventLoop.execute(() -> step.accept(result));
+    }
+
+    private void later(long millis) {
+        long jitter = ThreadLocalRandom.current().nextLong(millis / 4 + 1);
+        mEventLoop.schedule(this::step, millis + jitter, TimeUnit.MILLISECONDS);
+    }
+
+    private void leaseGranted(LeaseResult result) {
+        if (result instanceof LeaseResult.Granted(long lease, long durationMillis)) {
+            mLease = lease;
+            step();
+        } else {
+            later(RETRY_MILLIS);
+        }
+    }
+
+    private void renewed(LeaseResult result) {
+        switch (result) {
+            case LeaseResult.Granted granted -> later(RENEWAL_MILLIS);
+            case LeaseResult.Expired expired -> {
+                LOGGER.log(Event.RENDEZVOUS_LEASE_LOST, mLocalNode.name());
+                mLease = PlatformStore.NO_LEASE;
+                mRegistered = false;
+                mListed = false;
+                step();
+            }
+            case LeaseResult.Unavailable unavailable -> later(RETRY_MILLIS);
+        }
+    }
+
+    private void register(long expectedVersion) {
+        byte[] address = mLocalNode.peerAddress().getBytes(StandardCharsets.UTF_8);
+        mStore.compareAndSwap(PREFIX + mLocalNode.name(), expectedVersion, address, mLease)
+                .thenAccept(onEventLoop(this::registered));
+    }
+
+    private void registered(WriteResult result) {
+        switch (result) {
+            case WriteResult.Applied applied -> {
+                mRegistered = true;
+                step();
+            }
+            // The entry of an earlier run of this node.
+            case WriteResult.Conflict(long actual) when actual != StoreEntry.ABSENT_VERSION ->
+                    register(actual);
+            case WriteResult.Conflict absent -> later(RETRY_MILLIS);
+            case WriteResult.Unavailable unavailable -> {
+                // The lease may be gone, of which the store tells only on a renewal.
+                mLease = PlatformStore.NO_LEASE;
+                later(RETRY_MILLIS);
+            }
+            case WriteResult.Unknown unknown -> later(RETRY_MILLIS);
+        }
+    }
+
+    private boolean listIsDue() {
+        long age = mClock.nanoTime() - mListedNanos;
+        boolean lonely = mFleet.get().nodes().size() <= 1;
+        return !mListed || age > (lonely ? LONELY_LIST_NANOS : LIST_NANOS);
+    }
+
+    private void listed(ListResult result) {
+        switch (result) {
+            case ListResult.Page(List<StoreEntry> entries, boolean more, long revision) -> {
+                mListed = true;
+                mListedNanos = mClock.nanoTime();
+                contact(entries);
+                later(lonelyPause());
+            }
+            case ListResult.Unavailable unavailable -> later(RETRY_MILLIS);
+        }
+    }
+
+    private long lonelyPause() {
+        return mFleet.get().nodes().size() <= 1 ? RETRY_MILLIS : RENEWAL_MILLIS;
+    }
+
+    private void contact(List<StoreEntry> entries) {
+        List<StoreEntry> unknown = new ArrayList<>();
+        for (StoreEntry entry : entries) {
+            String node = entry.key().substring(PREFIX.length());
+            if (mFleet.get().findNode(node).isEmpty() && !node.equals(mLocalNode.name())) {
+                unknown.add(entry);
+            }
+        }
+        Collections.shuffle(unknown, ThreadLocalRandom.current());
+        for (StoreEntry entry : unknown.subList(0, Math.min(CONTACTS, unknown.size()))) {
+            String address = new String(entry.value(), StandardCharsets.UTF_8);
+            LOGGER.log(Event.RENDEZVOUS_CONTACT, entry.key(), address, entries.size());
+            mContacts.contact(address);
+        }
+    }
+}
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
@@ -14,6 +14,7 @@
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.RouteDefinition;
 import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.daemon.internal.dialect.OwnDialect;
 import org.arbutuslock.daemon.internal.exchange.Exchange;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.daemon.internal.exchange.OutcomeReport;
@@ -89,7 +90,8 @@
                         () -> FleetSnapshot.EMPTY,
                         new HomeNodes(LOCAL, mHome, null),
                         new AllRetries(),
-                        (route, tenant, latency, result) -> {});
+                        (route, tenant, latency, result) -> {},
+                        new OwnDialect());
         new CallerRequest(services, mChannel.eventLoop(), input(), mResponse).start();
         mChannel.runPendingTasks();
     }
@@ -109,7 +111,17 @@
                         1_000,
                         5);
         RequestId id = new RequestId("a", 9, 16);
-        return new CallerInput(id, route, false, "POST", "/orders", List.of(), new byte[0], "", 1);
+        return new CallerInput(
+                id,
+                route,
+                false,
+                "POST",
+                "/orders",
+                List.of(),
+                new byte[0],
+                "",
+                1,
+                route.deadlineMillis());
     }
 
     /** Refuses everything after its decision time. */
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendConnectionTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendConnectionTest.java
@@ -7,6 +7,7 @@
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.daemon.internal.dialect.OwnDialect;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.testng.annotations.Test;
 
@@ -14,7 +15,7 @@
 public class BackendConnectionTest {
     @Test
     public void should_read_again_for_the_next_request() {
-        BackendConnection connection = new BackendConnection();
+        BackendConnection connection = new BackendConnection(new OwnDialect());
         EmbeddedChannel channel = new EmbeddedChannel(connection);
         // The last part of a response can arrive right after reading was stopped.
         connection.setReading(false);
--- a/kernel/src/main/java/org/arbutuslock/api/Plugin.java
+++ b/kernel/src/main/java/org/arbutuslock/api/Plugin.java
@@ -30,6 +30,18 @@
      */
     Set<String> requires();
 
+    /**
+     * Tells whether this plug-in takes part in a node. Of several plug-ins with one name, the
+     * settings select one.
+     *
+     * @param context the settings of the node
+     * @return true when it shall be started
+     * @throws PluginException when the settings are missing
+     */
+    default boolean isSelected(PluginContext context) throws PluginException {
+        return true;
+    }
+
     /**
      * Starts this plug-in: takes what it needs from the context and provides what others need.
      *
--- a/kernel/src/main/java/org/arbutuslock/api/RouteDefinition.java
+++ b/kernel/src/main/java/org/arbutuslock/api/RouteDefinition.java
@@ -16,6 +16,7 @@
  * @param idempotent true when a request may be executed more than once; false for unknown methods
  * @param deadlineMillis time within which the caller needs the response, 1 to 3,600,000
  * @param priority 0 (dropped first) to 9 (dropped last)
+ * @param policy objective, attempts and split
  */
 public record RouteDefinition(
         String name,
@@ -28,9 +29,92 @@
         WorkClass workClass,
         boolean idempotent,
         int deadlineMillis,
-        int priority) {
+        int priority,
+        RoutePolicy policy) {
+    /**
+     * Creates a route with {@link RoutePolicy#DEFAULT}.
+     *
+     * @param name unique name of the route
+     * @param host host name, or empty for any
+     * @param method method, or empty for any
+     * @param path path to match
+     * @param prefix true when every path below {@code path} matches too
+     * @param headers header names in lower case and the values that they must have
+     * @param service name of the service that gets the request
+     * @param workClass short or long work
+     * @param idempotent true when a request may be executed more than once
+     * @param deadlineMillis time within which the caller needs the response
+     * @param priority 0 (dropped first) to 9 (dropped last)
+     */
+    public RouteDefinition(
+            String name,
+            String host,
+            String method,
+            String path,
+            boolean prefix,
+            Map<String, String> headers,
+            String service,
+            WorkClass workClass,
+            boolean idempotent,
+            int deadlineMillis,
+            int priority) {
+        this(
+                name,
+                host,
+                method,
+                path,
+                prefix,
+                headers,
+                service,
+                workClass,
+                idempotent,
+                deadlineMillis,
+                priority,
+                RoutePolicy.DEFAULT);
+    }
+
     /** Copies the headers so that a route never changes. */
     public RouteDefinition {
         headers = Map.copyOf(headers);
     }
+
+    /**
+     * Chooses the service of one request.
+     *
+     * @param draw random number, at least 0 and below 1
+     * @return this route with the service that the draw selects by weight
+     */
+    public RouteDefinition resolve(double draw) {
+        long total = 0;
+        for (WeightedService part : policy.split()) {
+            total += part.weight();
+        }
+        if (total == 0) {
+            return this;
+        }
+        double left = draw * total;
+        for (WeightedService part : policy.split()) {
+            left -= part.weight();
+            if (left < 0) {
+                return withService(part.service());
+            }
+        }
+        return this;
+    }
+
+    private RouteDefinition withService(String resolved) {
+        return new RouteDefinition(
+                name,
+                host,
+                method,
+                path,
+                prefix,
+                headers,
+                resolved,
+                workClass,
+                idempotent,
+                deadlineMillis,
+                priority,
+                policy);
+    }
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/configuration/Configuration.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/configuration/Configuration.java
@@ -86,6 +86,26 @@
         mRecentChanges = recentChanges;
     }
 
+    /**
+     * Creates a whole configuration that another system versions.
+     *
+     * @param revision its revision, at least 1
+     * @param services all services
+     * @param routes all routes, with different names
+     * @return the configuration, without tenants
+     */
+    public static Configuration of(
+            long revision, Iterable<ServiceDefinition> services, Iterable<RouteDefinition> routes) {
+        Entities entities = EMPTY.mEntities;
+        for (ServiceDefinition service : services) {
+            entities = entities.withService(service);
+        }
+        for (RouteDefinition route : routes) {
+            entities = entities.withRoute(route);
+        }
+        return new Configuration(revision, entities, RecentChanges.startingAfter(revision));
+    }
+
     /**
      * Returns the number of changes that led to this configuration.
      *
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/dialect/package-info.java
@@ -0,0 +1,2 @@
+/** Names under which requests carry what decisions need, so that they can be replaced. */
+package org.arbutuslock.internal.dialect;
--- a/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionRecord.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/execution/ExecutionRecord.java
@@ -92,6 +92,16 @@
         return STATE.compareAndSet(this, ExecutionState.QUEUED, ExecutionState.DISPATCHED);
     }
 
+    /**
+     * Moves a dispatched request to refused, because the backend server did not execute it.
+     *
+     * @param reason why
+     * @return false when the request was not dispatched or has ended
+     */
+    public boolean refuseDispatched(RefusalReason reason) {
+        return finish(ExecutionState.DISPATCHED, reason);
+    }
+
     /**
      * Refuses a queued request.
      *
--- a/kernel/src/main/java/org/arbutuslock/internal/execution/RefusalReason.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/execution/RefusalReason.java
@@ -25,5 +25,7 @@
     /** The home node has no room for another record. */
     LEDGER_FULL,
     /** A late copy of a request whose record is no longer kept; the original may have run. */
-    FORGOTTEN
+    FORGOTTEN,
+    /** The backend server says that it did not execute the request. */
+    NOT_EXECUTED
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -44,6 +44,8 @@
     ENDPOINT_ANNOUNCED(4001, Level.INFO, "endpoint {0} announced at {1} with {2} slots"),
     /** A backend server left or its announcement lapsed. */
     ENDPOINT_LEFT(4002, Level.INFO, "endpoint {0} {1}"),
+    /** A late announcement changes nothing. */
+    ANNOUNCEMENT_IGNORED(4003, Level.INFO, "announcement of {0} ignored: {1}"),
     /** An endpoint entered another state. */
     ENDPOINT_STATE_CHANGED(5001, Level.INFO, "endpoint {0} {1} -> {2}: {3}; {4}"),
     /** A node was added to the fleet. */
@@ -82,6 +84,16 @@
     WATCHER_STOPPED(7009, Level.INFO, "this node stopped watching the change log: {0}"),
     /** A snapshot of the configuration could not be written; another watcher will try. */
     SNAPSHOT_NOT_WRITTEN(7010, Level.WARNING, "snapshot not written: {0}"),
+    /** Another configuration is in force. */
+    CONFIGURATION_IN_FORCE(
+            7011, Level.INFO, "configuration {0} is in force after {1}; store revision {2}"),
+    /** A configuration in the store was not taken; the one in force stays. */
+    CONFIGURATION_REFUSED(
+            7012, Level.WARNING, "configuration of {0} was refused, {1} stays in force: {2}"),
+    /** The store took the entry of this node away. */
+    RENDEZVOUS_LEASE_LOST(7013, Level.INFO, "lease of the entry of node {0} has ended"),
+    /** A node that the store lists is contacted. */
+    RENDEZVOUS_CONTACT(7014, Level.INFO, "contacting {0} at {1}, one of {2} listed nodes"),
     /** The connection to the store failed; logged once until it works again. */
     STORE_DISCONNECTED(7901, Level.WARNING, "store {0} is not reachable: {1}"),
     /** The store responds again. */
--- a/kernel/src/main/java/org/arbutuslock/internal/membership/AntiEntropy.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/AntiEntropy.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
@@ -51,13 +52,20 @@
             Clock clock) {
         mTable = table;
         mPeers = peers;
-        mSeeds = List.copyOf(seeds);
+        mSeeds = new CopyOnWriteArrayList<>(seeds);
         mRandom = random;
         mOutbox = outbox;
         mBudget = new ByteBudget(clock, REPAIR_BYTES_PER_SECOND, REPAIR_BURST_BYTES);
         mNextNanos = clock.nanoTime() + random.nextLong(INTERVAL_NANOS);
     }
 
+    /** Adds an address to contact when parts of the fleet may have lost each other. */
+    void addSeed(String address) {
+        if (!mSeeds.contains(address)) {
+            mSeeds.add(address);
+        }
+    }
+
     void tick(long nowNanos) {
         if (nowNanos - mNextNanos >= 0) {
             mNextNanos = nowNanos + INTERVAL_NANOS;
--- a/kernel/src/main/java/org/arbutuslock/internal/membership/GossipProtocol.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/membership/GossipProtocol.java
@@ -80,6 +80,21 @@
         mRevisionNanos = now;
     }
 
+    /**
+     * Contacts a node that was found outside of the protocol.
+     *
+     * @param address address of the node for sessions
+     * @return what to send
+     */
+    public List<GossipAction> contact(String address) {
+        if (mLeft || address.equals(mSelf.record().peerAddress())) {
+            return List.of();
+        }
+        mAntiEntropy.addSeed(address);
+        mAntiEntropy.sendDigest(address);
+        return mOutbox.take();
+    }
+
     /**
      * Does what is due. Call it every {@link #TICK_INTERVAL}.
      *
--- a/kernel/src/main/java/org/arbutuslock/internal/plugins/PluginRuntime.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/plugins/PluginRuntime.java
@@ -31,6 +31,7 @@
     private static final String STEP = "start plug-ins";
     private static final String LOCAL_PROCESS = "this process";
 
+    private final Iterable<Plugin> mFound;
     private final Map<String, Plugin> mPlugins = new LinkedHashMap<>();
     private final Map<Class<?>, Object> mComponents = new HashMap<>();
     private final Deque<Plugin> mStarted = new ArrayDeque<>();
@@ -38,12 +39,15 @@
     /**
      * Creates a runtime; nothing is started yet.
      *
-     * @param plugins plug-ins in any order
-     * @throws PluginException when two plug-ins have the same name
+     * @param plugins plug-ins in any order; those that the settings do not select are left out
      */
-    public PluginRuntime(Iterable<Plugin> plugins) throws PluginException {
-        for (Plugin plugin : plugins) {
-            if (mPlugins.putIfAbsent(plugin.name(), plugin) != null) {
+    public PluginRuntime(Iterable<Plugin> plugins) {
+        mFound = plugins;
+    }
+
+    private void select() throws PluginException {
+        for (Plugin plugin : mFound) {
+            if (plugin.isSelected(this) && mPlugins.putIfAbsent(plugin.name(), plugin) != null) {
                 throw failure(
                         "two plug-ins are named \""
                                 + plugin.name()
@@ -77,6 +81,7 @@
      * @throws PluginException when a requirement is missing or cyclic or a plug-in fails
      */
     public void start() throws PluginException {
+        select();
         List<Plugin> ordered = orderByRequirements(mPlugins.values());
         for (Plugin plugin : ordered) {
             try {
--- a/kernel/src/main/java/org/arbutuslock/internal/routing/RouteChain.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/routing/RouteChain.java
@@ -30,6 +30,9 @@
     private static final int PREFIX_OFFSET = 6;
     private static final int METHOD_LENGTH_OFFSET = 7;
     private static final int HEADER_BYTES = 8;
+    private static final int EXACT = 0;
+    private static final int EXACT_OR_BELOW = 1;
+    private static final int BELOW = 2;
 
     /**
      * Exact path first, then more headers first, then a method before any method; the name makes
@@ -65,7 +68,7 @@
         byte[] entry = new byte[HEADER_BYTES + method.length + key.length];
         INT.set(entry, 0, PrefixKeys.hashOf(key));
         CHAR.set(entry, KEY_LENGTH_OFFSET, (char) key.length);
-        entry[PREFIX_OFFSET] = (byte) (route.prefix() ? 1 : 0);
+        entry[PREFIX_OFFSET] = (byte) matchKind(route);
         entry[METHOD_LENGTH_OFFSET] = (byte) method.length;
         System.arraycopy(method, 0, entry, HEADER_BYTES, method.length);
         System.arraycopy(key, 0, entry, HEADER_BYTES + method.length, key.length);
@@ -85,7 +88,7 @@
             int methodEnd = offset + HEADER_BYTES + packed[offset + METHOD_LENGTH_OFFSET];
             int end = methodEnd + (char) CHAR.get(packed, offset + KEY_LENGTH_OFFSET);
             if ((int) INT.get(packed, offset) == keys.hash(key)
-                    && (packed[offset + PREFIX_OFFSET] != 0 || keys.isWholePath(key))
+                    && pathMatches(packed[offset + PREFIX_OFFSET], keys.isWholePath(key))
                     && methodMatches(packed, offset + HEADER_BYTES, methodEnd, method)
                     && Arrays.equals(packed, methodEnd, end, keys.bytes(), 0, keys.end(key))
                     && headersMatch(routes[index].headers(), headers)) {
@@ -96,6 +99,17 @@
         return null;
     }
 
+    private static int matchKind(RouteDefinition route) {
+        if (!route.prefix()) {
+            return EXACT;
+        }
+        return route.policy().belowOnly() ? BELOW : EXACT_OR_BELOW;
+    }
+
+    private static boolean pathMatches(int kind, boolean wholePath) {
+        return wholePath ? kind != BELOW : kind != EXACT;
+    }
+
     private static boolean methodMatches(byte[] packed, int start, int end, String method) {
         if (start == end) {
             return true;
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/FieldReader.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/FieldReader.java
@@ -65,6 +65,41 @@
         return rule.minimum();
     }
 
+    double readDecimal(SettingsField field) {
+        FieldRule.Decimal rule = (FieldRule.Decimal) field.rule();
+        Optional<LocatedValue> value = findOrReport(field);
+        if (value.isEmpty()) {
+            return Double.parseDouble(field.defaultText());
+        }
+        if (value.get() instanceof LocatedValue.Scalar scalar && !scalar.text()) {
+            Optional<Double> number = parseDecimal(scalar.content());
+            if (number.isPresent()
+                    && number.get() >= rule.minimum()
+                    && number.get() <= rule.maximum()) {
+                return number.get();
+            }
+        }
+        reportRange(value.get(), field);
+        return rule.minimum();
+    }
+
+    /** Reads a word and returns its position among the allowed ones. */
+    int readChoice(SettingsField field) {
+        FieldRule.Choice rule = (FieldRule.Choice) field.rule();
+        Optional<LocatedValue> value = findOrReport(field);
+        if (value.isEmpty()) {
+            return rule.words().indexOf(field.defaultText());
+        }
+        if (value.get() instanceof LocatedValue.Scalar scalar && scalar.text()) {
+            int position = rule.words().indexOf(scalar.content());
+            if (position >= 0) {
+                return position;
+            }
+        }
+        reportRange(value.get(), field);
+        return 0;
+    }
+
     InetSocketAddress readAddress(SettingsField field) {
         Optional<LocatedValue> value = findOrReport(field);
         if (value.isPresent()) {
@@ -226,6 +261,14 @@
         }
     }
 
+    private static Optional<Double> parseDecimal(String digits) {
+        try {
+            return Optional.of(Double.parseDouble(digits));
+        } catch (NumberFormatException malformed) {
+            return Optional.empty();
+        }
+    }
+
     private static Optional<NodeSettings.Role> parseRole(LocatedValue value) {
         if (!(value instanceof LocatedValue.Scalar scalar) || !scalar.text()) {
             return Optional.empty();
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/FieldRule.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/FieldRule.java
@@ -1,5 +1,7 @@
 package org.arbutuslock.internal.settings;
 
+import java.util.List;
+
 /** What a field allows. */
 sealed interface FieldRule {
     /** Describes the allowed values for error messages and for the documentation. */
@@ -21,6 +23,22 @@
         }
     }
 
+    /** A number with fractions. */
+    record Decimal(double minimum, double maximum) implements FieldRule {
+        @Override
+        public String allowed() {
+            return minimum + " to " + maximum;
+        }
+    }
+
+    /** One of several words. */
+    record Choice(List<String> words) implements FieldRule {
+        @Override
+        public String allowed() {
+            return String.join(" or ", words);
+        }
+    }
+
     /** An IP address and port. */
     record Address() implements FieldRule {
         @Override
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/NodeSettings.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/NodeSettings.java
@@ -20,6 +20,9 @@
  * @param metrics listener for metrics
  * @param store the platform's key-value store
  * @param limits bounds on memory and work
+ * @param integration what the node is embedded in
+ * @param service name of the service of this host's backend server, or empty
+ * @param bounds figures that the operators of the fleet have promised
  * @param tls mutual authentication of operators, or empty for none
  */
 public record NodeSettings(
@@ -33,7 +36,36 @@
         Metrics metrics,
         Store store,
         Limits limits,
+        Integration integration,
+        String service,
+        Bounds bounds,
         Optional<Tls> tls) {
+    /** What a node is embedded in. */
+    public enum Integration {
+        /** Own store protocol, configuration and headers. */
+        NONE,
+        /** Those of the platform on which the node runs. */
+        PLATFORM
+    }
+
+    /**
+     * Figures that hold for a whole fleet.
+     *
+     * @param floorShare share of a service's endpoints that ejections must leave, 0 to 1
+     * @param departureSeconds time after which a leaving endpoint gets no new work
+     * @param retryRatio retries of a service as a share of its requests, 0 to 1
+     * @param retryExtra retries of a service beyond that share in one window
+     * @param retryWindowSeconds length of the window
+     * @param stopSeconds time that a graceful shutdown may take
+     */
+    public record Bounds(
+            double floorShare,
+            double departureSeconds,
+            double retryRatio,
+            double retryExtra,
+            double retryWindowSeconds,
+            double stopSeconds) {}
+
     /**
      * Listener for callers.
      *
@@ -59,9 +91,10 @@
     /**
      * Listener for backend servers' announcements.
      *
-     * @param address loopback address to listen on
+     * @param address address to listen on, reachable only from this host
+     * @param leaseSeconds time after which an announcement that is not renewed lapses
      */
-    public record Announcements(InetSocketAddress address) {}
+    public record Announcements(InetSocketAddress address, double leaseSeconds) {}
 
     /**
      * Listener for operators.
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsField.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsField.java
@@ -5,6 +5,10 @@
     NODE_NAME("nodeName", "", new FieldRule.Name(), Defaults.REQUIRED),
     REGION("region", "", new FieldRule.Name(), Defaults.REQUIRED),
     AVAILABILITY_ZONE("availabilityZone", "", new FieldRule.Name(), Defaults.REQUIRED),
+    // What the node is embedded in; a platform brings its own store, configuration and headers.
+    INTEGRATION(
+            "integration", "", new FieldRule.Choice(java.util.List.of("none", "platform")), "none"),
+    SERVICE("service", "", new FieldRule.Name(), ""),
     CALLERS_ADDRESS("callers.address", "", new FieldRule.Address(), Defaults.REQUIRED),
     CALLERS_MAXIMUM_HEADER_BYTES(
             "callers.maximumHeaderBytes", "bytes", new FieldRule.Whole(1_024, 65_536), "16384"),
@@ -15,6 +19,8 @@
             "peers.advertisedAddress", "", new FieldRule.Address(), Defaults.PEERS_ADDRESS),
     PEERS_SEEDS("peers.seeds", "", new FieldRule.Addresses(64), Defaults.EMPTY),
     ANNOUNCEMENTS_ADDRESS("announcements.address", "", new FieldRule.Address(), "127.0.0.1:7401"),
+    ANNOUNCEMENTS_LEASE_SECONDS(
+            "announcements.leaseSeconds", "s", new FieldRule.Decimal(0.5, 600), "3"),
     OPERATORS_ADDRESS("operators.address", "", new FieldRule.Address(), "127.0.0.1:7400"),
     METRICS_ADDRESS("metrics.address", "", new FieldRule.Address(), "127.0.0.1:7402"),
     STORE_ADDRESS("store.address", "", new FieldRule.Address(), Defaults.REQUIRED),
@@ -31,6 +37,18 @@
     LIMITS_DRAIN_SECONDS("limits.drainSeconds", "s", new FieldRule.Whole(1, 3_600), "30"),
     LIMITS_CONNECTIONS(
             "limits.connections", "connections", new FieldRule.Whole(1, 100_000), "10000"),
+    // The design's floor of three quarters of the endpoints.
+    BOUNDS_FLOOR_SHARE("bounds.floorShare", "", new FieldRule.Decimal(0, 1), "0.75"),
+    // The 3 s within which a leaving server must get no new work.
+    BOUNDS_DEPARTURE_SECONDS("bounds.departureSeconds", "s", new FieldRule.Decimal(0.1, 600), "3"),
+    // The share that docs/design.md gives a service by default.
+    BOUNDS_RETRY_RATIO("bounds.retryRatio", "", new FieldRule.Decimal(0, 1), "0.2"),
+    // Retries that the whole fleet may send beyond the ratio in one window.
+    BOUNDS_RETRY_EXTRA("bounds.retryExtra", "retries", new FieldRule.Decimal(0, 1_000_000), "10"),
+    BOUNDS_RETRY_WINDOW_SECONDS(
+            "bounds.retryWindowSeconds", "s", new FieldRule.Decimal(1, 600), "10"),
+    // A stop that takes longer than this is ended by the host.
+    BOUNDS_STOP_SECONDS("bounds.stopSeconds", "s", new FieldRule.Decimal(1, 7_200), "3600"),
     TLS_CERTIFICATE_FILE(
             "tls.certificateFile", "", new FieldRule.FilePath(), Defaults.REQUIRED_WITH_TLS),
     TLS_KEY_FILE("tls.keyFile", "", new FieldRule.FilePath(), Defaults.REQUIRED_WITH_TLS),
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsLoader.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsLoader.java
@@ -1,6 +1,7 @@
 package org.arbutuslock.internal.settings;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
@@ -98,7 +99,8 @@
                         (int) reader.readWhole(SettingsField.CALLERS_IDLE_TIMEOUT_MILLIS)),
                 buildPeers(reader),
                 new NodeSettings.Announcements(
-                        reader.readAddress(SettingsField.ANNOUNCEMENTS_ADDRESS)),
+                        reader.readAddress(SettingsField.ANNOUNCEMENTS_ADDRESS),
+                        reader.readDecimal(SettingsField.ANNOUNCEMENTS_LEASE_SECONDS)),
                 new NodeSettings.Operators(reader.readAddress(SettingsField.OPERATORS_ADDRESS)),
                 new NodeSettings.Metrics(reader.readAddress(SettingsField.METRICS_ADDRESS)),
                 new NodeSettings.Store(
@@ -110,6 +112,13 @@
                         (int) reader.readWhole(SettingsField.LIMITS_QUEUE_LENGTH),
                         (int) reader.readWhole(SettingsField.LIMITS_DRAIN_SECONDS),
                         (int) reader.readWhole(SettingsField.LIMITS_CONNECTIONS)),
+                reader.readChoice(SettingsField.INTEGRATION) == 0
+                        ? NodeSettings.Integration.NONE
+                        : NodeSettings.Integration.PLATFORM,
+                reader.has(SettingsField.SERVICE.path())
+                        ? reader.readName(SettingsField.SERVICE)
+                        : "",
+                buildBounds(reader),
                 reader.has("tls") ? Optional.of(buildTls(reader)) : Optional.empty());
     }
 
@@ -122,6 +131,16 @@
                 reader.readAddresses(SettingsField.PEERS_SEEDS));
     }
 
+    private static NodeSettings.Bounds buildBounds(FieldReader reader) {
+        return new NodeSettings.Bounds(
+                reader.readDecimal(SettingsField.BOUNDS_FLOOR_SHARE),
+                reader.readDecimal(SettingsField.BOUNDS_DEPARTURE_SECONDS),
+                reader.readDecimal(SettingsField.BOUNDS_RETRY_RATIO),
+                reader.readDecimal(SettingsField.BOUNDS_RETRY_EXTRA),
+                reader.readDecimal(SettingsField.BOUNDS_RETRY_WINDOW_SECONDS),
+                reader.readDecimal(SettingsField.BOUNDS_STOP_SECONDS));
+    }
+
     private static NodeSettings.Tls buildTls(FieldReader reader) {
         return new NodeSettings.Tls(
                 reader.readFile(SettingsField.TLS_CERTIFICATE_FILE),
@@ -136,11 +155,7 @@
                     SettingsField.PEERS_ADVERTISED_ADDRESS,
                     "other nodes cannot connect to this address; set the address of this host");
         }
-        if (!settings.announcements().address().getAddress().isLoopbackAddress()) {
-            reader.report(
-                    SettingsField.ANNOUNCEMENTS_ADDRESS,
-                    "allowed is a loopback address, since announcements are not authenticated");
-        }
+        checkAnnouncements(settings, reader);
         boolean loopback = settings.operators().address().getAddress().isLoopbackAddress();
         if (settings.tls().isEmpty() && !loopback) {
             reader.report(
@@ -150,6 +165,21 @@
         checkListeners(settings, reader);
     }
 
+    /** A backend server on the host reaches the host's own address as well as the loopback one. */
+    private static void checkAnnouncements(NodeSettings settings, FieldReader reader) {
+        boolean hosted = settings.integration() == NodeSettings.Integration.PLATFORM;
+        InetAddress address = settings.announcements().address().getAddress();
+        boolean own = hosted && address.equals(settings.peers().advertisedAddress().getAddress());
+        if (!address.isLoopbackAddress() && !own) {
+            reader.report(
+                    SettingsField.ANNOUNCEMENTS_ADDRESS,
+                    hosted
+                            ? "allowed is a loopback address or the host's own address"
+                            : "allowed is a loopback address, since announcements are not"
+                                    + " authenticated");
+        }
+    }
+
     private static void checkListeners(NodeSettings settings, FieldReader reader) {
         Map<SettingsField, InetSocketAddress> listeners = new LinkedHashMap<>();
         listeners.put(SettingsField.CALLERS_ADDRESS, settings.callers().address());
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/SpreadBenchNode.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/SpreadBenchNode.java
@@ -9,6 +9,7 @@
 import org.arbutuslock.api.PluginException;
 import org.arbutuslock.daemon.internal.configuration.ConfigurationPlugin;
 import org.arbutuslock.daemon.internal.configuration.ConfigurationSpreadPlugin;
+import org.arbutuslock.daemon.internal.dialect.OwnDialectPlugin;
 import org.arbutuslock.daemon.internal.fleet.FleetDirectory;
 import org.arbutuslock.daemon.internal.fleet.FleetPlugin;
 import org.arbutuslock.daemon.internal.home.HomePlugin;
@@ -16,6 +17,7 @@
 import org.arbutuslock.daemon.internal.sessions.Addresses;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
+import org.arbutuslock.daemon.internal.store.GrpcStorePlugin;
 import org.arbutuslock.daemon.internal.store.MonitoredStore;
 import org.arbutuslock.internal.configuration.Configuration;
 import org.arbutuslock.internal.configuration.ConfigurationChange;
@@ -62,6 +64,9 @@
                         direct.metrics(),
                         direct.store(),
                         direct.limits(),
+                        direct.integration(),
+                        direct.service(),
+                        direct.bounds(),
                         direct.tls());
     }
 
@@ -71,6 +76,8 @@
                 new PluginRuntime(
                         List.of(
                                 new SharedEventLoops(mEventLoops),
+                                new OwnDialectPlugin(),
+                                new GrpcStorePlugin(),
                                 new HomePlugin(),
                                 new SessionsPlugin(),
                                 new ConfigurationPlugin(),
