--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/logging/LogOutput.java
@@ -0,0 +1,62 @@
+package org.arbutuslock.daemon.internal.logging;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.PatternLayout;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.LayoutWrappingEncoder;
+import ch.qos.logback.core.spi.ContextAwareBase;
+
+/**
+ * Configures the logging library: one structured line for each event on standard output, through a
+ * bounded queue. When standard output blocks and the queue is full, lines are dropped and no
+ * request waits; informational lines go first. Configuring in code instead of XML saves a third of
+ * the processor time of a start.
+ */
+public final class LogOutput extends ContextAwareBase implements Configurator {
+    private static final String PATTERN =
+            "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z',UTC} level=%level %msg%n";
+    // About 400 KB of lines, which is seconds of the busiest log.
+    private static final int QUEUE_LINES = 2_048;
+    // Lines below the level of a warning are dropped when less than this is free.
+    private static final int DISCARDING_THRESHOLD = QUEUE_LINES / 5;
+    private static final int FLUSH_MILLIS = 300;
+
+    /** Creates the configurator; called by the logging library. */
+    public LogOutput() {}
+
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        PatternLayout layout = new PatternLayout();
+        layout.setContext(context);
+        layout.setPattern(PATTERN);
+        layout.start();
+        LayoutWrappingEncoder<ILoggingEvent> encoder = new LayoutWrappingEncoder<>();
+        encoder.setContext(context);
+        encoder.setLayout(layout);
+        ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+        console.setContext(context);
+        console.setName("standardOutput");
+        console.setEncoder(encoder);
+        console.start();
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(context);
+        queue.setName("queue");
+        queue.setQueueSize(QUEUE_LINES);
+        queue.setDiscardingThreshold(DISCARDING_THRESHOLD);
+        queue.setNeverBlock(true);
+        queue.setMaxFlushTime(FLUSH_MILLIS);
+        queue.addAppender(console);
+        queue.start();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.INFO);
+        root.addAppender(queue);
+        context.getLogger("io.netty").setLevel(Level.ERROR);
+        context.getLogger("io.grpc").setLevel(Level.WARN);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Writes log events to standard output without blocking the threads that log. */
+package org.arbutuslock.daemon.internal.logging;
