Go round endpoints with overdue work and repeat overdue safe requests

Cause: endpoints hang for seconds while their health is good; at one or two requests a second an endpoint, the detector convicts after the spell. Change: the home node suspects a backend server while the newest evidence is an overdue request, refuses new work for it as not run within a round trip and lets one idempotent request through every 400 ms; entry nodes try others first and insist after four refusals; an idempotent request whose response has not started at half of the objective is submitted once more inside the budget, which every submission after the first takes from.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerInput.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerInput.java
@@ -6,6 +6,7 @@
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.internal.membership.FleetSnapshot;
 import org.arbutuslock.internal.messages.HeaderField;
+import org.arbutuslock.internal.progress.Expectation;
 
 /**
  * What a caller sent, with the route that it matched.
@@ -34,7 +35,10 @@
         long patienceMillis) {
     /** Creates the request of one attempt. */
     ExecutionRequest toRequest(
-            RequestId attemptId, FleetSnapshot.Member member, long deadlineNanos) {
+            RequestId attemptId,
+            FleetSnapshot.Member member,
+            long deadlineNanos,
+            Expectation expectation) {
         return new ExecutionRequest(
                 attemptId,
                 member.endpoint().id(),
@@ -47,6 +51,7 @@
                 tenant,
                 tenantWeight,
                 route.priority(),
-                deadlineNanos);
+                deadlineNanos,
+                expectation);
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -13,6 +13,7 @@
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.RouteDefinition;
+import org.arbutuslock.api.RoutePolicy;
 import org.arbutuslock.daemon.internal.callers.EndpointChooser.AttemptResult;
 import org.arbutuslock.daemon.internal.callers.RequestObserver.RequestResult;
 import org.arbutuslock.daemon.internal.exchange.Exchange;
@@ -24,6 +25,7 @@
 import org.arbutuslock.internal.membership.FleetSnapshot;
 import org.arbutuslock.internal.messages.BufferedResponse;
 import org.arbutuslock.internal.messages.HeaderField;
+import org.arbutuslock.internal.progress.Expectation;
 import org.arbutuslock.internal.selection.LoadReport;
 
 /**
@@ -34,6 +36,9 @@
 final class CallerRequest {
     private static final int HELD_BYTES = 64 * 1024;
     private static final int SHED_STATUS = 503;
+    private static final int FIRST_SERVER_ERROR = 500;
+    // So many refusals cost a few round trips; more would delay the request for little.
+    private static final int SUSPECTS_TO_INSIST = 4;
     private static final int MAXIMUM_ATTEMPTS = 4;
     private static final long QUERY_PAUSE_MILLIS = 20;
     private static final long STARTING_PAUSE_MILLIS = 20;
@@ -53,7 +58,9 @@
     private final Set<EndpointId> mPathFailed = new HashSet<>();
     private final List<Attempt> mPossiblyRun = new ArrayList<>();
     private Optional<Attempt> mShed = Optional.empty();
-    private Optional<Attempt> mAttempt = Optional.empty();
+    private final List<Attempt> mLive = new ArrayList<>();
+    private final Set<EndpointId> mSuspects = new HashSet<>();
+    private boolean mInsisting;
     private Future<?> mDeadline;
     private String mLastRefusal = "no endpoint of the service is known";
     private String mLastUnknown = "";
@@ -89,7 +96,7 @@
     /** Withdraws the request because the caller has closed its connection. */
     void cancel() {
         if (!mDone) {
-            mAttempt.ifPresent(Attempt::cancel);
+            cancelLive();
             finish(RequestResult.CANCELLED);
         }
     }
@@ -107,25 +114,50 @@
             mEventLoop.schedule(this::startAttempt, STARTING_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        if (chosen.isEmpty() || mAttempts == MAXIMUM_ATTEMPTS) {
-            refuse();
+        if (chosen.isEmpty() || mAttempts == mostAttempts()) {
+            if (mLive.isEmpty()) {
+                refuse();
+            }
             return;
         }
         Attempt attempt = new Attempt(chosen.get(), mInput.id().withAttempt(mAttempts));
         mAttempts++;
-        mAttempt = Optional.of(attempt);
+        mLive.add(attempt);
         attempt.start();
     }
 
+    /** Routes that state an objective go round suspect endpoints, which takes more submissions. */
+    private int mostAttempts() {
+        return hasObjective() ? RequestId.ATTEMPTS : MAXIMUM_ATTEMPTS;
+    }
+
+    private boolean hasObjective() {
+        return route().policy().targetMillis() < RoutePolicy.DEFAULT.targetMillis();
+    }
+
+    /** Returns when a response that has not started is overdue: at half of the objective. */
+    private int overdueMillis() {
+        return hasObjective()
+                ? Math.max(1, route().policy().targetMillis() / 2)
+                : Expectation.NONE.overdueMillis();
+    }
+
+    private void cancelLive() {
+        List.copyOf(mLive).forEach(Attempt::cancel);
+    }
+
     /** Prefers endpoints that were not tried, then those to which only the path failed. */
     private Optional<FleetSnapshot.Member> choose() {
         EndpointChooser chooser = mServices.chooser();
         Optional<FleetSnapshot.Member> untried =
                 chooser.choose(route(), mInput.idempotent(), mTried);
-        if (untried.isPresent() || !mTried.removeAll(mPathFailed)) {
+        if (untried.isPresent()) {
             return untried;
         }
-        return chooser.choose(route(), mInput.idempotent(), mTried);
+        // Nobody is left that does not refuse: a suspect endpoint is better than none.
+        mInsisting |= !mSuspects.isEmpty();
+        boolean retryable = mTried.removeAll(mPathFailed) | mTried.removeAll(mSuspects);
+        return retryable ? chooser.choose(route(), mInput.idempotent(), mTried) : Optional.empty();
     }
 
     private void retryOrElse(Runnable otherwise) {
@@ -142,7 +174,7 @@
 
     /** Tells whether the request may be sent to one more endpoint. */
     private boolean attemptsLeft() {
-        return mSends < route().policy().maximumAttempts();
+        return mSends + mLive.size() < route().policy().maximumAttempts();
     }
 
     /** Tells whether another execution could give the caller a whole response. */
@@ -153,6 +185,14 @@
     /** Tries another endpoint. Only retries after an overload take from the retry budget. */
     private void retryRefused(RefusalReason reason) {
         switch (reason) {
+            case SUSPECT -> {
+                if (mServices.clock().nanoTime() < mDeadlineNanos) {
+                    mInsisting |= mSuspects.size() >= SUSPECTS_TO_INSIST;
+                    startAttempt();
+                } else {
+                    refuse();
+                }
+            }
             case NOT_EXECUTED -> {
                 mSends++;
                 retryOrElse(this::refuse);
@@ -183,19 +223,25 @@
 
     /** Refuses the request, unless an earlier attempt may have been executed. */
     private void refuse() {
-        if (!mPossiblyRun.isEmpty()) {
-            reportUnknown(mLastUnknown + "; then " + mLastRefusal);
+        if (mDone || !mLive.isEmpty()) {
             return;
         }
         if (mShed.isPresent()) {
             mShed.get().sendHeld();
             return;
         }
+        if (!mPossiblyRun.isEmpty()) {
+            reportUnknown(mLastUnknown + "; then " + mLastRefusal);
+            return;
+        }
         mResponse.sendWhole(TextResponses.notRun(mLastRefusal));
         finish(RequestResult.NOT_RUN);
     }
 
     private void reportUnknown(String detail) {
+        if (mDone || !mLive.isEmpty()) {
+            return;
+        }
         if (mSent.isPresent()) {
             mResponse.abort();
             finish(RequestResult.ABORTED);
@@ -211,9 +257,14 @@
         if (mDone) {
             return;
         }
-        mAttempt.ifPresent(Attempt::cancel);
+        List<Attempt> live = List.copyOf(mLive);
+        cancelLive();
         String detail = "the deadline of " + mInput.patienceMillis() + " ms passed";
-        mAttempt.ifPresent(attempt -> attempt.noteSubmitted(detail));
+        live.forEach(attempt -> attempt.noteSubmitted(detail));
+        if (mShed.isPresent()) {
+            mShed.get().sendHeld();
+            return;
+        }
         if (mPossiblyRun.isEmpty()) {
             mLastRefusal = detail;
             refuse();
@@ -224,6 +275,7 @@
 
     private void finish(RequestResult result) {
         mDone = true;
+        cancelLive();
         mDeadline.cancel(false);
         Duration latency = Duration.ofNanos(mServices.clock().nanoTime() - mStartNanos);
         mServices.observer().finished(route(), mInput.tenant(), latency, result);
@@ -242,6 +294,7 @@
         private LoadReport mLoad = LoadReport.UNKNOWN;
         private long mBytes;
         private boolean mClosed;
+        private Future<?> mOverdue;
         private Optional<SentResponse.Continuation> mContinuation = Optional.empty();
 
         private Attempt(FleetSnapshot.Member member, RequestId id) {
@@ -251,9 +304,28 @@
 
         private void start() {
             mServices.chooser().started(mMember, route());
-            ExecutionRequest request = mInput.toRequest(mId, mMember, mDeadlineNanos);
+            Expectation expectation = new Expectation(overdueMillis(), mayInsist());
+            ExecutionRequest request = mInput.toRequest(mId, mMember, mDeadlineNanos, expectation);
             mExchange =
                     mServices.homeNodes().submit(mMember.node(), request, this::handleOnEventLoop);
+            if (mInput.idempotent() && hasObjective()) {
+                mOverdue = mEventLoop.schedule(this::hedge, overdueMillis(), TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private boolean mayInsist() {
+            return mInsisting || !hasObjective();
+        }
+
+        /** Starts a second submission elsewhere while this one is overdue. */
+        private void hedge() {
+            boolean waiting = !mClosed && mStatus == 0 && !mDone && mSent.isEmpty();
+            if (waiting && mLive.size() == 1 && attemptsLeft()) {
+                mTried.add(mMember.endpoint().id());
+                if (mServices.retries().allowRetry(route().service())) {
+                    startAttempt();
+                }
+            }
         }
 
         private void handleOnEventLoop(ResponseEvent event) {
@@ -272,13 +344,20 @@
                     mStatus = status;
                     mHeaders = headers;
                     mLoad = load;
+                    if (!isServerFailure()) {
+                        cancelOthers();
+                    }
                     compareHead();
                 }
                 case ResponseEvent.Body(byte[] data, boolean last) -> handleBody(data, last);
                 case ResponseEvent.Refused refused -> {
                     mLoad = refused.load();
                     mLastRefusal = refused.reason() + ": " + refused.detail();
-                    end(AttemptResult.REFUSED);
+                    boolean suspect = refused.reason() == RefusalReason.SUSPECT;
+                    if (suspect) {
+                        mSuspects.add(mMember.endpoint().id());
+                    }
+                    end(suspect ? AttemptResult.SUSPECT : AttemptResult.REFUSED);
                     acknowledge();
                     retryRefused(refused.reason());
                 }
@@ -379,7 +458,10 @@
                 end(AttemptResult.REFUSED);
                 acknowledge();
                 mShed = Optional.of(this);
-                retryOrElse(this::sendHeld);
+                mSends++;
+                if (mLive.isEmpty()) {
+                    retryOrElse(this::sendHeld);
+                }
             } else if (last) {
                 sendHeld();
             } else {
@@ -388,7 +470,20 @@
         }
 
         private boolean shouldRetryShed() {
-            return mStatus == SHED_STATUS && mInput.idempotent();
+            boolean failure = mStatus == SHED_STATUS || hasObjective() && isServerFailure();
+            return failure && mInput.idempotent();
+        }
+
+        private boolean isServerFailure() {
+            return mStatus >= FIRST_SERVER_ERROR;
+        }
+
+        private void cancelOthers() {
+            for (Attempt other : List.copyOf(mLive)) {
+                if (other != this) {
+                    other.cancel();
+                }
+            }
         }
 
         private void sendHeld() {
@@ -483,6 +578,10 @@
 
         private void end(AttemptResult result) {
             mClosed = true;
+            mLive.remove(this);
+            if (mOverdue != null) {
+                mOverdue.cancel(false);
+            }
             mTried.add(mMember.endpoint().id());
             Duration latency = Duration.ofNanos(mServices.clock().nanoTime() - mAttemptStartNanos);
             mServices.chooser().finished(mMember, route(), latency, result, mLoad, mBytes);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -106,7 +106,7 @@
                         fleet::current,
                         new HomeNodes(localNode, mHome, context.require(PeerLinks.class)),
                         new RetryMetrics(
-                                new ServiceRetryPolicy(mClock, configuration),
+                                retryPolicy(settings, configuration, fleet),
                                 context.require(MeterRegistry.class)),
                         context.require(RequestMetrics.class),
                         context.require(RequestDialect.class));
@@ -122,6 +122,16 @@
         context.provide(CallerServer.class, mServer);
     }
 
+    private RetryPolicy retryPolicy(
+            NodeSettings settings, ConfigurationHolder configuration, FleetDirectory fleet) {
+        return switch (settings.integration()) {
+            case NONE -> new ServiceRetryPolicy(mClock, configuration);
+            case PLATFORM ->
+                    new FleetRetryPolicy(
+                            mClock, settings.bounds(), () -> fleet.current().nodes().size());
+        };
+    }
+
     /**
      * Tells callers to move while new connections are still accepted, then waits until neither
      * callers nor other nodes have requests in progress here.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EndpointChooser.java
@@ -53,6 +53,8 @@
         COMPLETE,
         /** The home node refused the request. */
         REFUSED,
+        /** The home node refused the request because the backend server is suspect. */
+        SUSPECT,
         /** No session to the home node, or it broke. */
         PATH_FAILED,
         /** The backend server failed. */
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
@@ -116,6 +116,10 @@
         switch (result) {
             case COMPLETE -> path.recordResponse(route.workClass(), latency.toNanos(), load);
             case REFUSED -> path.recordRefusal(load);
+            case SUSPECT -> {
+                path.recordSuspicion();
+                path.recordRefusal(load);
+            }
             case PATH_FAILED -> path.recordPathFailure();
             case SERVER_FAILED -> path.recordAbandoned();
         }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/exchange/ExecutionRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/exchange/ExecutionRequest.java
@@ -5,6 +5,7 @@
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.internal.messages.HeaderField;
+import org.arbutuslock.internal.progress.Expectation;
 
 /**
  * One request for one endpoint.
@@ -21,6 +22,7 @@
  * @param tenantWeight weight of the tenant, 1 to 100
  * @param priority 0 to 9
  * @param deadlineNanos reading of the clock at which the caller gives up
+ * @param expectation what the entry node expects
  */
 public record ExecutionRequest(
         RequestId id,
@@ -34,7 +36,8 @@
         String tenant,
         int tenantWeight,
         int priority,
-        long deadlineNanos) {
+        long deadlineNanos,
+        Expectation expectation) {
     /** Copies the list of headers. */
     public ExecutionRequest {
         headers = List.copyOf(headers);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -20,6 +20,7 @@
 import org.arbutuslock.internal.detection.ServiceTimer;
 import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.progress.ProgressMonitor;
 import org.arbutuslock.internal.selection.LoadReport;
 
 /**
@@ -35,6 +36,7 @@
     private final BackendConnectionPool mPool;
     private final RequestDialect mDialect;
     private final ServiceTimer mServiceTimer;
+    private final ProgressMonitor mProgress;
     private final ObservationListener mObservations;
     private final AtomicLongArray mRefusals = new AtomicLongArray(RefusalReason.values().length);
     private volatile LoadReport mLoad = LoadReport.UNKNOWN;
@@ -68,6 +70,7 @@
         mAdmission = new AdmissionController<>(clock, admission);
         mPool = new BackendConnectionPool(eventLoop, clock, address, dialect);
         mDialect = dialect;
+        mProgress = new ProgressMonitor(clock);
         mServiceTimer = new ServiceTimer(admission.slots(), clock);
         mObservations = observations;
     }
@@ -182,6 +185,10 @@
     }
 
     private void offerNow(HomeExchange exchange) {
+        if (shouldGoElsewhere(exchange.request())) {
+            exchange.refuse(RefusalReason.SUSPECT, mId + " has overdue work");
+            return;
+        }
         switch (mAdmission.offer(exchange.ticket())) {
             case OfferResult.Dispatch<HomeExchange>(Ticket<HomeExchange> ticket) ->
                     dispatch(ticket.request());
@@ -195,6 +202,18 @@
         updateLoad();
     }
 
+    private boolean shouldGoElsewhere(ExecutionRequest request) {
+        if (request.expectation().insisting() || !mProgress.isSuspect()) {
+            return false;
+        }
+        return !request.idempotent() || !mProgress.mayTry();
+    }
+
+    /** Returns the monitor of the backend server's progress. Event loop of the endpoint only. */
+    ProgressMonitor progress() {
+        return mProgress;
+    }
+
     private void apply(Decisions<HomeExchange> decisions) {
         decisions.reject().forEach(EndpointRuntime::refuse);
         decisions.dispatch().forEach(ticket -> dispatch(ticket.request()));
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -20,6 +20,7 @@
 import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.messages.BufferedResponse;
 import org.arbutuslock.internal.messages.HeaderField;
+import org.arbutuslock.internal.progress.ProgressMonitor;
 
 /**
  * One admitted request at its home node, from the queue to the end of the response. Confined to the
@@ -32,6 +33,8 @@
     // A non-idempotent request is not cut off at its deadline, since its outcome could not be
     // known then. This is how much longer it may run.
     private static final long EXTRA_NANOS = Duration.ofSeconds(30).toNanos();
+    // A backend server that gets an objective ends its work at the deadline by itself.
+    private static final long OBJECTIVE_EXTRA_NANOS = Duration.ofMillis(500).toNanos();
 
     private final EndpointRuntime mEndpoint;
     private final Clock mClock;
@@ -41,6 +44,7 @@
     private final Lane mLane;
     private final Ticket<HomeExchange> mTicket;
     private BackendConnection mConnection;
+    private ProgressMonitor.Run mRun;
     private Future<?> mDeadline;
     private Optional<RequestObservation> mObservation = Optional.empty();
     private Future<?> mStallCheck;
@@ -113,6 +117,7 @@
             return;
         }
         mConnection = connection;
+        mRun = mEndpoint.progress().dispatched(mRequest.expectation().overdueMillis());
         RequestObservation observation = new RequestObservation(mEndpoint, mClock, mLane);
         mObservation = Optional.of(observation);
         checkStall();
@@ -177,6 +182,13 @@
         } else {
             mRecord.complete(new BufferedResponse(mStatus, mHeaders, mKeptBody.toByteArray()));
         }
+        mEndpoint
+                .progress()
+                .ended(
+                        mRun,
+                        classify(mStatus) == Outcome.OK
+                                ? ProgressMonitor.Result.SUCCEEDED
+                                : ProgressMonitor.Result.FAILED);
         mObservation.ifPresent(observation -> observation.ended(classify(mStatus)));
         mEndpoint.release(mConnection);
         mEndpoint.finished(this, toCompletion(classify(mStatus)));
@@ -186,6 +198,7 @@
     private void refuseDispatched(boolean otherServer) {
         finish();
         mObservation.ifPresent(observation -> observation.ended(Outcome.REFUSED));
+        mEndpoint.progress().ended(mRun, ProgressMonitor.Result.WITHDRAWN);
         mRecord.refuseDispatched(RefusalReason.NOT_EXECUTED);
         mEndpoint.countRefusal(RefusalReason.NOT_EXECUTED);
         mEndpoint.release(mConnection);
@@ -199,6 +212,13 @@
 
     private void failDispatched(String reason, Outcome outcome) {
         finish();
+        mEndpoint
+                .progress()
+                .ended(
+                        mRun,
+                        outcome == Outcome.OK
+                                ? ProgressMonitor.Result.WITHDRAWN
+                                : ProgressMonitor.Result.FAILED);
         mObservation.ifPresent(observation -> observation.ended(outcome));
         mRecord.fail();
         mConnection.abort();
@@ -227,15 +247,21 @@
         }
         mObservation.ifPresent(observation -> observation.ended(Outcome.TIMEOUT));
         long overdue = mClock.nanoTime() - mRequest.deadlineNanos();
-        if (mRequest.idempotent() || overdue >= EXTRA_NANOS) {
+        if (mRequest.idempotent() || overdue >= extraNanos()) {
             failDispatched(
                     "the deadline passed while the backend server worked on the request",
                     Outcome.TIMEOUT);
         } else {
-            mDeadline = mEndpoint.schedule(this::deadlinePassed, EXTRA_NANOS);
+            mDeadline = mEndpoint.schedule(this::deadlinePassed, extraNanos());
         }
     }
 
+    private long extraNanos() {
+        return mRequest.expectation().overdueMillis() == Integer.MAX_VALUE
+                ? EXTRA_NANOS
+                : OBJECTIVE_EXTRA_NANOS;
+    }
+
     @Override
     public void grantCredit(int bytes) {
         mEndpoint.execute(
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
@@ -24,6 +24,7 @@
 import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.messages.BufferedResponse;
 import org.arbutuslock.internal.messages.OutcomeState;
+import org.arbutuslock.internal.progress.Expectation;
 import org.arbutuslock.internal.selection.LoadReport;
 
 /**
@@ -234,7 +235,8 @@
                         "",
                         1,
                         PROBE_PRIORITY,
-                        deadline);
+                        deadline,
+                        Expectation.NONE);
         if (mLedger.admit(mProbeSession, probeId)
                 instanceof AdmitResult.Admitted(ExecutionRecord record)) {
             // Nobody acknowledges a probe.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -263,7 +263,8 @@
                     request.tenant(),
                     request.tenantWeight(),
                     request.priority(),
-                    (int) Math.max(0, remaining));
+                    (int) Math.max(0, remaining),
+                    request.expectation());
         }
 
         private void sendBody(byte[] body) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -284,7 +284,8 @@
                     mSubmit.tenant(),
                     mSubmit.tenantWeight(),
                     mSubmit.priority(),
-                    mDeadlineNanos);
+                    mDeadlineNanos,
+                    mSubmit.expectation());
         }
     }
 
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/HomeNodesTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/HomeNodesTest.java
@@ -16,6 +16,7 @@
 import org.arbutuslock.internal.execution.LedgerLimits;
 import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.membership.NodeRecord;
+import org.arbutuslock.internal.progress.Expectation;
 import org.testng.annotations.Test;
 
 /** Guards against a node that takes no local requests after its local session was fenced. */
@@ -51,6 +52,7 @@
                 "",
                 1,
                 5,
-                1_000_000_000L);
+                1_000_000_000L,
+                Expectation.NONE);
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/DuplicateFrameTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/DuplicateFrameTest.java
@@ -22,6 +22,7 @@
 import org.arbutuslock.internal.messages.OutcomeState;
 import org.arbutuslock.internal.messages.PeerMessage;
 import org.arbutuslock.internal.messages.PeerMessageCodec;
+import org.arbutuslock.internal.progress.Expectation;
 import org.testng.annotations.Test;
 
 /** Guards against bodies that contain a part twice because its frame arrived twice. */
@@ -101,7 +102,8 @@
                 "",
                 1,
                 5,
-                1_000);
+                1_000,
+                Expectation.NONE);
     }
 
     private static ExecutionRequest request() {
@@ -117,7 +119,8 @@
                 "",
                 1,
                 5,
-                1_000_000_000L);
+                1_000_000_000L,
+                Expectation.NONE);
     }
 
     private static byte[] bytes(String text) {
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/IdleSessionTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/IdleSessionTest.java
@@ -12,6 +12,7 @@
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.internal.messages.PeerMessage;
+import org.arbutuslock.internal.progress.Expectation;
 import org.testng.annotations.Test;
 
 /** Guards against sessions that stay open to every node that gossip has ever contacted. */
@@ -83,6 +84,7 @@
                 "",
                 1,
                 5,
-                Long.MAX_VALUE);
+                Long.MAX_VALUE,
+                Expectation.NONE);
     }
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/execution/RefusalReason.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/execution/RefusalReason.java
@@ -27,5 +27,7 @@
     /** A late copy of a request whose record is no longer kept; the original may have run. */
     FORGOTTEN,
     /** The backend server says that it did not execute the request. */
-    NOT_EXECUTED
+    NOT_EXECUTED,
+    /** The backend server has overdue work; another endpoint should be tried first. */
+    SUSPECT
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
@@ -6,6 +6,7 @@
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.progress.Expectation;
 import org.arbutuslock.internal.selection.LoadReport;
 
 /** One message between two nodes. Streams number the requests of one session. */
@@ -81,6 +82,7 @@
      * @param tenantWeight weight of the tenant
      * @param priority 0 to 9
      * @param remainingMillis time left until the deadline
+     * @param expectation what the entry node expects
      */
     record Submit(
             long stream,
@@ -95,7 +97,8 @@
             String tenant,
             int tenantWeight,
             int priority,
-            int remainingMillis)
+            int remainingMillis,
+            Expectation expectation)
             implements PeerMessage {
         /** Copies the list of headers. */
         public Submit {
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
@@ -7,6 +7,7 @@
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.progress.Expectation;
 import org.arbutuslock.internal.selection.LoadReport;
 
 /**
@@ -227,7 +228,9 @@
                 .writeString(submit.tenant())
                 .writeLong(submit.tenantWeight())
                 .writeLong(submit.priority())
-                .writeLong(submit.remainingMillis());
+                .writeLong(submit.remainingMillis())
+                .writeLong(submit.expectation().overdueMillis())
+                .writeBoolean(submit.expectation().insisting());
     }
 
     private static PeerMessage readSubmit(MessageReader reader) throws MessageFormatException {
@@ -244,7 +247,10 @@
                 readName(reader, "tenant"),
                 reader.readInt("tenantWeight", 1, MAXIMUM_WEIGHT),
                 reader.readInt("priority", 0, MAXIMUM_PRIORITY),
-                reader.readInt("remainingMillis", 0, MAXIMUM_DEADLINE_MILLIS));
+                reader.readInt("remainingMillis", 0, MAXIMUM_DEADLINE_MILLIS),
+                new Expectation(
+                        reader.readInt("overdueMillis", 1, Integer.MAX_VALUE),
+                        reader.readBoolean("insisting")));
     }
 
     private static EndpointId readEndpoint(MessageReader reader) throws MessageFormatException {
--- /dev/null
+++ b/kernel/src/main/java/org/arbutuslock/internal/progress/package-info.java
@@ -0,0 +1,2 @@
+/** Recognizes a backend server that has stopped completing its work. */
+package org.arbutuslock.internal.progress;
--- a/kernel/src/main/java/org/arbutuslock/internal/retry/RetryBudget.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/retry/RetryBudget.java
@@ -74,6 +74,26 @@
         }
     }
 
+    /**
+     * Asks for a retry within a budget of which a fixed part is granted beyond the share.
+     *
+     * @param extraRetries retries in each window beyond the share of first attempts, at least 0
+     * @return true when the budget allows it; it is then used up
+     */
+    public boolean tryRetry(int extraRetries) {
+        while (true) {
+            State current = mState.get();
+            State advanced = advance(current);
+            long share = sum(advanced.firstAttempts()) * mRetryPercent / WHOLE_PERCENT;
+            if (sum(advanced.retries()) >= share + extraRetries) {
+                return false;
+            }
+            if (mState.compareAndSet(current, addRetry(advanced))) {
+                return true;
+            }
+        }
+    }
+
     private long allowedRetries(State state) {
         long share = sum(state.firstAttempts()) * mRetryPercent / WHOLE_PERCENT;
         return Math.max(mMinimumRetries, share);
--- a/kernel/src/main/java/org/arbutuslock/internal/selection/PathStatistics.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/selection/PathStatistics.java
@@ -29,6 +29,9 @@
     // is tried again.
     private static final long HALF_LIFE_NANOS = Duration.ofSeconds(10).toNanos();
     private static final int MAXIMUM_HALVINGS = 10;
+    // The home node refuses within a round trip, so that a suspicion is asked about often.
+    private static final long SUSPICION_NANOS = Duration.ofMillis(400).toNanos();
+    private static final double SUSPECT_FACTOR = 0.02;
     private static final double FULL_FACTOR = 1.0;
     private static final double REDUCED_FACTOR = 0.1;
 
@@ -41,6 +44,8 @@
     private final AtomicInteger mFailures = new AtomicInteger();
     private volatile TimedReport mReport;
     private volatile long mAvoidUntilNanos;
+    private volatile long mSuspectUntilNanos;
+    private volatile boolean mSuspected;
 
     /**
      * Creates statistics without observations.
@@ -114,12 +119,25 @@
     }
 
     /** True while this node sends nothing on the path if the floor permits. */
+    /** Notes that the home node finds its endpoint suspect, so that others are tried first. */
+    public void recordSuspicion() {
+        mSuspectUntilNanos = mClock.nanoTime() + SUSPICION_NANOS;
+        mSuspected = true;
+    }
+
+    boolean isSuspect(long now) {
+        return mSuspected && mSuspectUntilNanos - now > 0;
+    }
+
     boolean isAvoided(long now) {
         return mFailures.get() >= FAILURES_TO_AVOID && mAvoidUntilNanos - now > 0;
     }
 
     /** Returns the share of the endpoint's weight that the path's condition leaves. */
     double weightFactor(long now, boolean mayAvoid) {
+        if (isSuspect(now)) {
+            return SUSPECT_FACTOR;
+        }
         if (mFailures.get() < FAILURES_TO_AVOID) {
             return FULL_FACTOR;
         }
--- /dev/null
+++ b/kernel/src/test/java/org/arbutuslock/internal/progress/ProgressMonitorTest.java
@@ -0,0 +1,95 @@
+package org.arbutuslock.internal.progress;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import org.arbutuslock.api.ManualClock;
+import org.arbutuslock.internal.progress.ProgressMonitor.Result;
+import org.arbutuslock.internal.progress.ProgressMonitor.Run;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against work for a server that hangs, and against a sound one that stays idle. */
+public class ProgressMonitorTest {
+    private static final int OVERDUE_MILLIS = 800;
+
+    private ManualClock mClock;
+    private ProgressMonitor mMonitor;
+
+    @BeforeMethod
+    public void setUp() {
+        mClock = new ManualClock();
+        mMonitor = new ProgressMonitor(mClock);
+    }
+
+    @Test
+    public void should_suspect_a_server_whose_only_request_is_overdue() {
+        mMonitor.dispatched(OVERDUE_MILLIS);
+        pass(799);
+        assertFalse(mMonitor.isSuspect());
+        pass(1);
+        assertTrue(mMonitor.isSuspect());
+    }
+
+    @Test
+    public void should_clear_a_server_that_completes_a_later_request() {
+        mMonitor.dispatched(OVERDUE_MILLIS);
+        pass(500);
+        Run later = mMonitor.dispatched(OVERDUE_MILLIS);
+        pass(400);
+        assertTrue(mMonitor.isSuspect());
+        mMonitor.ended(later, Result.SUCCEEDED);
+        assertFalse(mMonitor.isSuspect());
+    }
+
+    @Test
+    public void should_not_be_cleared_by_a_request_that_was_sent_earlier() {
+        Run earlier = mMonitor.dispatched(OVERDUE_MILLIS);
+        pass(100);
+        mMonitor.dispatched(100);
+        pass(200);
+        mMonitor.ended(earlier, Result.SUCCEEDED);
+        assertTrue(mMonitor.isSuspect());
+    }
+
+    @Test
+    public void should_keep_the_evidence_of_a_request_that_was_given_up() {
+        Run run = mMonitor.dispatched(OVERDUE_MILLIS);
+        pass(900);
+        mMonitor.ended(run, Result.WITHDRAWN);
+        assertTrue(mMonitor.isSuspect());
+        pass(2_500);
+        assertFalse(mMonitor.isSuspect());
+    }
+
+    @Test
+    public void should_forget_a_request_that_was_given_up_in_time() {
+        Run run = mMonitor.dispatched(OVERDUE_MILLIS);
+        pass(100);
+        mMonitor.ended(run, Result.WITHDRAWN);
+        assertFalse(mMonitor.isSuspect());
+    }
+
+    @Test
+    public void should_suspect_after_two_failures_in_a_row_only() {
+        mMonitor.ended(mMonitor.dispatched(OVERDUE_MILLIS), Result.FAILED);
+        assertFalse(mMonitor.isSuspect());
+        mMonitor.ended(mMonitor.dispatched(OVERDUE_MILLIS), Result.FAILED);
+        assertTrue(mMonitor.isSuspect());
+        pass(1_500);
+        assertFalse(mMonitor.isSuspect());
+    }
+
+    @Test
+    public void should_allow_one_try_in_each_interval() {
+        assertTrue(mMonitor.mayTry());
+        assertFalse(mMonitor.mayTry());
+        pass(400);
+        assertTrue(mMonitor.mayTry());
+    }
+
+    private void pass(long millis) {
+        mClock.advance(Duration.ofMillis(millis));
+    }
+}
