--- a/daemon/src/main/java/org/arbutuslock/daemon/Main.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/Main.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -10,16 +11,21 @@
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.PluginException;
 import org.arbutuslock.daemon.internal.node.Node;
+import org.arbutuslock.daemon.internal.node.SettingsReloader;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.settings.LiveSettings;
 import org.arbutuslock.internal.settings.NodeSettings;
 import org.arbutuslock.internal.settings.SettingsLoader;
 import org.arbutuslock.internal.settings.SettingsProblem;
 import org.arbutuslock.internal.settings.SettingsResult;
+import sun.misc.Signal;
 
 /** Runs a node: {@code arbutuslock-node --settings node.json}. SIGTERM is a graceful shutdown. */
 public final class Main {
     private static final EventLogger LOGGER = EventLogger.forComponent("main");
+    // Half of the seconds within which a change must be in force, for a file that changed silently.
+    private static final long RELOAD_SECONDS = 1;
     private static final int FAILED = 1;
     private static final int WRONG_INPUT = 2;
 
@@ -52,7 +58,7 @@
 
     private static void run(Path file) throws InterruptedException {
         switch (new SettingsLoader().load(file)) {
-            case SettingsResult.Loaded(NodeSettings settings) -> runNode(settings);
+            case SettingsResult.Loaded(NodeSettings settings) -> runNode(file, settings);
             case SettingsResult.Invalid(List<SettingsProblem> problems) -> {
                 problems.forEach(System.err::println);
                 System.exit(WRONG_INPUT);
@@ -60,10 +66,14 @@
         }
     }
 
-    private static void runNode(NodeSettings settings) throws InterruptedException {
+    private static void runNode(Path file, NodeSettings settings) throws InterruptedException {
+        LiveSettings live = new LiveSettings(settings);
+        SettingsReloader reloader = new SettingsReloader(file, live);
+        // Without a handler the signal would end the process.
+        Signal.handle(new Signal("HUP"), signal -> reloader.check());
         CountDownLatch stopped = new CountDownLatch(1);
         try {
-            Node node = Node.start(settings, Clock.system());
+            Node node = Node.start(live, Clock.system());
             Runtime.getRuntime()
                     .addShutdownHook(new Thread(() -> shutDown(node, stopped), "shutdown"));
         } catch (PluginException | RuntimeException failed) {
@@ -71,7 +81,9 @@
             LOGGER.log(Event.START_FAILED, failed.getMessage());
             System.exit(FAILED);
         }
-        stopped.await();
+        while (!stopped.await(RELOAD_SECONDS, TimeUnit.SECONDS)) {
+            reloader.check();
+        }
     }
 
     private static void shutDown(Node node, CountDownLatch stopped) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -68,6 +68,8 @@
     private int mSends;
     private boolean mDone;
     private Optional<SentResponse> mSent = Optional.empty();
+    private final RequestLog mLog;
+    private int mAnsweredStatus;
 
     CallerRequest(
             EntryServices services,
@@ -79,6 +81,7 @@
         mInput = input;
         mResponse = response;
         mStartNanos = services.clock().nanoTime();
+        mLog = new RequestLog(services.dialect().requestName(input.headers()));
         mDeadlineNanos = mStartNanos + TimeUnit.MILLISECONDS.toNanos(input.patienceMillis());
     }
 
@@ -278,6 +281,14 @@
         cancelLive();
         mDeadline.cancel(false);
         Duration latency = Duration.ofNanos(mServices.clock().nanoTime() - mStartNanos);
+        mLog.finished(
+                route(),
+                result,
+                mAnsweredStatus,
+                mLastUnknown.isEmpty() ? mLastRefusal : mLastUnknown,
+                mServices.revision(),
+                mServices.clock().nanoTime(),
+                latency.toMillis());
         mServices.observer().finished(route(), mInput.tenant(), latency, result);
     }
 
@@ -584,6 +595,12 @@
             }
             mTried.add(mMember.endpoint().id());
             Duration latency = Duration.ofNanos(mServices.clock().nanoTime() - mAttemptStartNanos);
+            mAnsweredStatus = mStatus;
+            mLog.tried(
+                    mMember.endpoint().id().backendServer(),
+                    mMember.node().node(),
+                    mStatus == 0 ? result.name() : Integer.toString(mStatus),
+                    latency.toMillis());
             mServices.chooser().finished(mMember, route(), latency, result, mLoad, mBytes);
         }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.Plugin;
@@ -28,6 +29,7 @@
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 import org.arbutuslock.internal.selection.RegionLinkBudget;
+import org.arbutuslock.internal.settings.LiveSettings;
 import org.arbutuslock.internal.settings.NodeSettings;
 
 /** Provides the entry node's side: the callers' server. */
@@ -95,6 +97,7 @@
                         fleet::current,
                         configuration,
                         new RegionLinkBudget(mClock, LINK_BYTES_PER_SECOND, LINK_BURST),
+                        TimeUnit.MILLISECONDS.toNanos(settings.callers().regionPenaltyMillis()),
                         ThreadLocalRandom.current().nextLong());
         EntryServices services =
                 new EntryServices(
@@ -106,7 +109,8 @@
                         fleet::current,
                         new HomeNodes(localNode, mHome, context.require(PeerLinks.class)),
                         new RetryMetrics(
-                                retryPolicy(settings, configuration, fleet),
+                                retryPolicy(
+                                        context.require(LiveSettings.class), configuration, fleet),
                                 context.require(MeterRegistry.class)),
                         context.require(RequestMetrics.class),
                         context.require(RequestDialect.class));
@@ -123,12 +127,11 @@
     }
 
     private RetryPolicy retryPolicy(
-            NodeSettings settings, ConfigurationHolder configuration, FleetDirectory fleet) {
-        return switch (settings.integration()) {
+            LiveSettings live, ConfigurationHolder configuration, FleetDirectory fleet) {
+        return switch (live.current().integration()) {
             case NONE -> new ServiceRetryPolicy(mClock, configuration);
             case PLATFORM ->
-                    new FleetRetryPolicy(
-                            mClock, settings.bounds(), () -> fleet.current().nodes().size());
+                    new FleetRetryPolicy(mClock, live, () -> fleet.current().nodes().size());
         };
     }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EntryServices.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EntryServices.java
@@ -36,6 +36,15 @@
     // A starting node gets the records of the fleet within a few round trips.
     private static final long STARTING_NANOS = Duration.ofSeconds(2).toNanos();
 
+    /**
+     * Returns the revision of the configuration in force, for logs.
+     *
+     * @return revision, 0 before the first configuration
+     */
+    long revision() {
+        return configuration.current().revision();
+    }
+
     /**
      * Tells whether this node may still lack records that it will get at once.
      *
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
@@ -53,6 +53,7 @@
      * @param fleet nodes that this node knows
      * @param configuration configuration in force
      * @param linkBudget bytes that this node may move between regions
+     * @param regionPenaltyNanos time that the price of a request to another region is worth
      * @param seed seed of the random choices
      */
     public FleetEndpointChooser(
@@ -61,6 +62,7 @@
             Supplier<FleetSnapshot> fleet,
             ConfigurationHolder configuration,
             RegionLinkBudget linkBudget,
+            long regionPenaltyNanos,
             long seed) {
         mLocalNode = localNode;
         mClock = clock;
@@ -72,7 +74,12 @@
                         () -> new SplittableRandom(seed + Thread.currentThread().threadId()));
         mSelector =
                 ThreadLocal.withInitial(
-                        () -> new EndpointSelector(clock, mRandom.get().split(), linkBudget));
+                        () ->
+                                new EndpointSelector(
+                                        clock,
+                                        mRandom.get().split(),
+                                        linkBudget,
+                                        regionPenaltyNanos));
     }
 
     @Override
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetRetryPolicy.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetRetryPolicy.java
@@ -6,6 +6,7 @@
 import java.util.function.IntSupplier;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.internal.retry.RetryBudget;
+import org.arbutuslock.internal.settings.LiveSettings;
 import org.arbutuslock.internal.settings.NodeSettings;
 
 /**
@@ -24,7 +25,7 @@
     private static final int WHOLE_PERCENT = 100;
 
     private final Clock mClock;
-    private final NodeSettings.Bounds mBounds;
+    private final LiveSettings mSettings;
     private final IntSupplier mNodes;
     private final AtomicInteger mMostNodes = new AtomicInteger(FEWEST_NODES);
     private final ConcurrentHashMap<String, RetryBudget> mBudgets = new ConcurrentHashMap<>();
@@ -33,12 +34,12 @@
      * Creates full budgets.
      *
      * @param clock time of the sliding window
-     * @param bounds budget of the whole fleet
+     * @param settings budget of the whole fleet
      * @param nodes counts the nodes that this node knows, itself included
      */
-    public FleetRetryPolicy(Clock clock, NodeSettings.Bounds bounds, IntSupplier nodes) {
+    public FleetRetryPolicy(Clock clock, LiveSettings settings, IntSupplier nodes) {
         mClock = clock;
-        mBounds = bounds;
+        mSettings = settings;
         mNodes = nodes;
     }
 
@@ -50,7 +51,8 @@
     @Override
     public boolean allowRetry(String service) {
         int nodes = mMostNodes.accumulateAndGet(mNodes.getAsInt(), Math::max);
-        return budget(service).tryRetry((int) (mBounds.retryExtra() * OWN_SHARE / nodes));
+        return budget(service)
+                .tryRetry((int) (mSettings.current().bounds().retryExtra() * OWN_SHARE / nodes));
     }
 
     @Override
@@ -63,8 +65,9 @@
     }
 
     private RetryBudget create() {
-        int percent = (int) (mBounds.retryRatio() * OWN_SHARE * WHOLE_PERCENT);
-        long windowMillis = (long) (mBounds.retryWindowSeconds() * WINDOW_MARGIN * 1_000);
+        NodeSettings.Bounds bounds = mSettings.current().bounds();
+        int percent = (int) (bounds.retryRatio() * OWN_SHARE * WHOLE_PERCENT);
+        long windowMillis = (long) (bounds.retryWindowSeconds() * WINDOW_MARGIN * 1_000);
         return new RetryBudget(mClock, percent, 0, Duration.ofMillis(windowMillis));
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollower.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import org.arbutuslock.api.Result;
 import org.arbutuslock.api.store.ListResult;
 import org.arbutuslock.api.store.PlatformStore;
@@ -29,7 +30,7 @@
     private final PlatformStore mStore;
     private final ConfigurationDialect mDialect;
     private final ConfigurationHolder mHolder;
-    private final double mFloorShare;
+    private final DoubleSupplier mFloorShare;
     private final EventLoop mEventLoop;
     private long mPauseMillis = FIRST_PAUSE_MILLIS;
     private boolean mStopped;
@@ -38,7 +39,7 @@
             PlatformStore store,
             ConfigurationDialect dialect,
             ConfigurationHolder holder,
-            double floorShare,
+            DoubleSupplier floorShare,
             EventLoop eventLoop) {
         mStore = store;
         mDialect = dialect;
@@ -85,7 +86,7 @@
             return;
         }
         long before = mHolder.current().revision();
-        switch (mDialect.read(entry.value(), mFloorShare)) {
+        switch (mDialect.read(entry.value(), mFloorShare.getAsDouble())) {
             case Result.Success<Configuration>(Configuration configuration) ->
                     report(mHolder.apply(configuration), before, entry);
             case Result.Failed<Configuration>(var failure) ->
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/FollowedConfigurationPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/FollowedConfigurationPlugin.java
@@ -9,6 +9,7 @@
 import org.arbutuslock.daemon.internal.store.GrpcStorePlugin;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.dialect.ConfigurationDialect;
+import org.arbutuslock.internal.settings.LiveSettings;
 import org.arbutuslock.internal.settings.NodeSettings;
 
 /** Follows the configuration that the operators of a platform write into its store. */
@@ -39,12 +40,13 @@
 
     @Override
     public void start(PluginContext context) throws PluginException {
+        LiveSettings live = context.require(LiveSettings.class);
         mFollower =
                 new ConfigurationFollower(
                         context.require(PlatformStore.class),
                         context.require(ConfigurationDialect.class),
                         context.require(ConfigurationHolder.class),
-                        context.require(NodeSettings.class).bounds().floorShare(),
+                        () -> live.current().bounds().floorShare(),
                         context.require(EventLoopGroup.class).next());
         mFollower.start();
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EjectionPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/ejection/EjectionPlugin.java
@@ -35,6 +35,8 @@
 
     // For the tick and for requests on their way.
     private static final long DEPARTURE_MARGIN_MILLIS = 500;
+    // A node on a platform has a share of a core and may stand still for longer.
+    private static final long SHARED_CORE_MARGIN_MILLIS = 1_500;
 
     private EndpointGuards mGuards;
     private Future<?> mTicks;
@@ -90,8 +92,14 @@
     }
 
     private static Duration departureNotice(PluginContext context) throws PluginException {
-        double seconds = context.require(NodeSettings.class).bounds().departureSeconds();
-        return Duration.ofMillis(Math.max(0, (long) (seconds * 1_000) - DEPARTURE_MARGIN_MILLIS));
+        NodeSettings settings = context.require(NodeSettings.class);
+        long margin =
+                switch (settings.integration()) {
+                    case NONE -> DEPARTURE_MARGIN_MILLIS;
+                    case PLATFORM -> SHARED_CORE_MARGIN_MILLIS;
+                };
+        long bound = (long) (settings.bounds().departureSeconds() * 1_000);
+        return Duration.ofMillis(Math.max(0, bound - margin));
     }
 
     @Override
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -20,6 +20,9 @@
 import org.arbutuslock.internal.detection.ServiceTimer;
 import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.logging.LineLimit;
 import org.arbutuslock.internal.progress.ProgressMonitor;
 import org.arbutuslock.internal.selection.LoadReport;
 
@@ -28,6 +31,10 @@
  * threads use {@link #execute} and the volatile load.
  */
 public final class EndpointRuntime {
+    private static final EventLogger LOGGER = EventLogger.forComponent("home");
+    private static final int SUSPICIONS_PER_SECOND = 10;
+    private static final LineLimit SUSPICIONS = new LineLimit(SUSPICIONS_PER_SECOND);
+
     private final EndpointId mId;
     private final InetSocketAddress mAddress;
     private final int mSlots;
@@ -37,6 +44,8 @@
     private final RequestDialect mDialect;
     private final ServiceTimer mServiceTimer;
     private final ProgressMonitor mProgress;
+    private final Clock mClock;
+    private boolean mSuspect;
     private final ObservationListener mObservations;
     private final AtomicLongArray mRefusals = new AtomicLongArray(RefusalReason.values().length);
     private volatile LoadReport mLoad = LoadReport.UNKNOWN;
@@ -70,6 +79,7 @@
         mAdmission = new AdmissionController<>(clock, admission);
         mPool = new BackendConnectionPool(eventLoop, clock, address, dialect);
         mDialect = dialect;
+        mClock = clock;
         mProgress = new ProgressMonitor(clock);
         mServiceTimer = new ServiceTimer(admission.slots(), clock);
         mObservations = observations;
@@ -144,6 +154,11 @@
         execute(() -> apply(mAdmission.drain()));
     }
 
+    /** Refuses what is queued, because the endpoint takes no work. Any thread. */
+    void refuseWaiting() {
+        execute(() -> apply(mAdmission.refuseWaiting()));
+    }
+
     /** Closes idle connections. Any thread. */
     void close() {
         execute(mPool::close);
@@ -203,12 +218,36 @@
     }
 
     private boolean shouldGoElsewhere(ExecutionRequest request) {
-        if (request.expectation().insisting() || !mProgress.isSuspect()) {
+        boolean suspect = mProgress.isSuspect();
+        noteSuspicion(suspect, request);
+        if (request.expectation().insisting() || !suspect) {
             return false;
         }
         return !request.idempotent() || !mProgress.mayTry();
     }
 
+    private void noteSuspicion(boolean suspect, ExecutionRequest request) {
+        if (suspect == mSuspect) {
+            return;
+        }
+        mSuspect = suspect;
+        long leftOut = SUSPICIONS.tryTake(mClock.nanoTime());
+        if (leftOut != LineLimit.REFUSED) {
+            LOGGER.log(
+                    Event.ENDPOINT_SUSPECT,
+                    mId,
+                    suspect,
+                    mDialect.requestName(request.headers()),
+                    mUnfinished,
+                    leftOut);
+        }
+    }
+
+    /** Returns the names of header fields. */
+    RequestDialect dialect() {
+        return mDialect;
+    }
+
     /** Returns the monitor of the backend server's progress. Event loop of the endpoint only. */
     ProgressMonitor progress() {
         return mProgress;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -18,6 +18,9 @@
 import org.arbutuslock.internal.detection.Outcome;
 import org.arbutuslock.internal.execution.ExecutionRecord;
 import org.arbutuslock.internal.execution.RefusalReason;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.logging.LineLimit;
 import org.arbutuslock.internal.messages.BufferedResponse;
 import org.arbutuslock.internal.messages.HeaderField;
 import org.arbutuslock.internal.progress.ProgressMonitor;
@@ -27,6 +30,10 @@
  * event loop of its endpoint, but for {@link #grantCredit} and {@link #cancel}.
  */
 final class HomeExchange implements Exchange {
+    private static final EventLogger LOGGER = EventLogger.forComponent("home");
+    // A line takes about 300 bytes.
+    private static final int FAILURES_PER_SECOND = 20;
+    private static final LineLimit FAILURES = new LineLimit(FAILURES_PER_SECOND);
     private static final int KEPT_BODY_BYTES = 64 * 1024;
     private static final int SHED_STATUS = 503;
     private static final int FIRST_SERVER_ERROR = 500;
@@ -45,6 +52,7 @@
     private final Ticket<HomeExchange> mTicket;
     private BackendConnection mConnection;
     private ProgressMonitor.Run mRun;
+    private long mDispatchNanos;
     private Future<?> mDeadline;
     private Optional<RequestObservation> mObservation = Optional.empty();
     private Future<?> mStallCheck;
@@ -117,6 +125,7 @@
             return;
         }
         mConnection = connection;
+        mDispatchNanos = mClock.nanoTime();
         mRun = mEndpoint.progress().dispatched(mRequest.expectation().overdueMillis());
         RequestObservation observation = new RequestObservation(mEndpoint, mClock, mLane);
         mObservation = Optional.of(observation);
@@ -220,12 +229,29 @@
                                 ? ProgressMonitor.Result.WITHDRAWN
                                 : ProgressMonitor.Result.FAILED);
         mObservation.ifPresent(observation -> observation.ended(outcome));
+        logFailure(reason, outcome);
         mRecord.fail();
         mConnection.abort();
         emit(new ResponseEvent.OutcomeUnknown(reason, mEndpoint.load()));
         mEndpoint.finished(this, Completion.FAILED);
     }
 
+    private void logFailure(String reason, Outcome outcome) {
+        long leftOut = FAILURES.tryTake(mClock.nanoTime());
+        if (leftOut == LineLimit.REFUSED || outcome == Outcome.OK) {
+            return;
+        }
+        LOGGER.log(
+                Event.BACKEND_REQUEST_FAILED,
+                mEndpoint.dialect().requestName(mRequest.headers()),
+                mRequest.id().format(),
+                mEndpoint.id(),
+                outcome,
+                TimeUnit.NANOSECONDS.toMillis(mClock.nanoTime() - mDispatchNanos),
+                reason,
+                leftOut);
+    }
+
     private void finish() {
         mDone = true;
         mDeadline.cancel(false);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
@@ -215,6 +215,10 @@
             return;
         }
         entry.mState = state;
+        if (state == EndpointState.DRAINING) {
+            // What waits has not run, and would run after the departure takes effect.
+            entry.mRuntime.refuseWaiting();
+        }
         entry.mWeightPercent = weightPercent;
         notifyListeners(new Change.StateChanged(id));
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/node/Node.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/node/Node.java
@@ -9,6 +9,7 @@
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 import org.arbutuslock.internal.plugins.PluginRuntime;
+import org.arbutuslock.internal.settings.LiveSettings;
 import org.arbutuslock.internal.settings.NodeSettings;
 
 /**
@@ -41,6 +42,19 @@
      * @throws PluginException when a plug-in cannot start; what was started is stopped again
      */
     public static Node start(NodeSettings settings, Clock clock) throws PluginException {
+        return start(new LiveSettings(settings), clock);
+    }
+
+    /**
+     * Starts all plug-ins on the class path.
+     *
+     * @param live checked settings, which may change while the node runs
+     * @param clock time of the node
+     * @return the running node
+     * @throws PluginException when a plug-in cannot start; what was started is stopped again
+     */
+    public static Node start(LiveSettings live, Clock clock) throws PluginException {
+        NodeSettings settings = live.current();
         // Milliseconds since the epoch grow from one run of a host to the next.
         LocalNode localNode =
                 new LocalNode(
@@ -51,6 +65,7 @@
                         Addresses.format(settings.peers().advertisedAddress()));
         PluginRuntime plugins = new PluginRuntime(ServiceLoader.load(Plugin.class));
         plugins.provide(NodeSettings.class, settings);
+        plugins.provide(LiveSettings.class, live);
         plugins.provide(Clock.class, clock);
         plugins.provide(LocalNode.class, localNode);
         plugins.start();
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
@@ -22,6 +22,7 @@
 import org.arbutuslock.daemon.internal.exchange.ResponseListener;
 import org.arbutuslock.daemon.internal.sessions.HomeNode;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
+import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.ejection.EndpointState;
 import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.membership.EndpointRecord;
@@ -85,7 +86,7 @@
                         LOCAL,
                         mClock,
                         mClock.nanoTime(),
-                        null,
+                        new ConfigurationHolder(),
                         mChooser,
                         () -> FleetSnapshot.EMPTY,
                         new HomeNodes(LOCAL, mHome, null),
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/AdmissionController.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/AdmissionController.java
@@ -265,6 +265,15 @@
      */
     public Decisions<T> drain() {
         mDraining = true;
+        return refuseWaiting();
+    }
+
+    /**
+     * Refuses the requests that wait; new ones are still taken.
+     *
+     * @return requests to refuse now
+     */
+    public Decisions<T> refuseWaiting() {
         Decisions<T> decisions = new Decisions<>();
         while (!mByDeadline.isEmpty()) {
             Ticket<T> waiting = mByDeadline.first();
--- a/kernel/src/main/java/org/arbutuslock/internal/dialect/RequestDialect.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/dialect/RequestDialect.java
@@ -22,6 +22,16 @@
      */
     String requestName(HeaderAccessor headers);
 
+    /**
+     * Reads the name of a request from a list of fields.
+     *
+     * @param headers header fields of the request
+     * @return the name, or empty when the caller gave none
+     */
+    default String requestName(List<HeaderField> headers) {
+        return requestName(name -> HeaderField.find(headers, name));
+    }
+
     /**
      * Reads how long the caller waits.
      *
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -22,12 +22,28 @@
     SMALL_HTTP_FAILED(1006, Level.WARNING, "{0} server: connection from {1} failed: {2}"),
     /** Graceful shutdown has ended with requests still in progress. */
     DRAIN_LIMIT_REACHED(1007, Level.WARNING, "drain limit of {0} s reached with {1} requests"),
+    /** The settings file has changed. */
+    SETTINGS_RELOADED(1008, Level.INFO, "settings reloaded from {0}: {1}; {2}"),
+    /** The changed settings file cannot be used; the settings in force stay. */
+    SETTINGS_REJECTED(1009, Level.WARNING, "settings of {0} not reloaded: {1}"),
     /** A caller sent a malformed request. */
     CALLER_REQUEST_MALFORMED(2001, Level.INFO, "malformed request from {0}: {1}"),
     /** A caller's connection failed. */
     CALLER_CONNECTION_FAILED(2002, Level.DEBUG, "connection of caller {0} failed: {1}"),
     /** A caller's connection was closed because too many are open. */
     CALLER_LIMIT_REACHED(2003, Level.WARNING, "caller {0} turned away, limit of {1} connections"),
+    /** A caller has got the response of a backend server. */
+    REQUEST_ANSWERED(
+            2004,
+            Level.INFO,
+            "request={0} route={1} service={2} status={3} millis={4} revision={5} tries=[{6}]"
+                    + " leftOut={7}"),
+    /** A caller has got no response of a backend server. */
+    REQUEST_FAILED(
+            2005,
+            Level.WARNING,
+            "request={0} route={1} service={2} result={3} millis={4} revision={5} tries=[{6}]"
+                    + " reason={7} leftOut={8}"),
     /** This node opened a session. */
     SESSION_OPENED(3001, Level.INFO, "session to node {0} incarnation {1} opened as {2}"),
     /** This node accepted a session. */
@@ -46,6 +62,14 @@
     ENDPOINT_LEFT(4002, Level.INFO, "endpoint {0} {1}"),
     /** A late announcement changes nothing. */
     ANNOUNCEMENT_IGNORED(4003, Level.INFO, "announcement of {0} ignored: {1}"),
+    /** A dispatched request got no whole response of its backend server. */
+    BACKEND_REQUEST_FAILED(
+            4004,
+            Level.WARNING,
+            "request={0} id={1} endpoint={2} outcome={3} millis={4} reason={5} leftOut={6}"),
+    /** A backend server has overdue work, or works again. */
+    ENDPOINT_SUSPECT(
+            4005, Level.INFO, "endpoint={0} suspect={1} request={2} unfinished={3} leftOut={4}"),
     /** An endpoint entered another state. */
     ENDPOINT_STATE_CHANGED(5001, Level.INFO, "endpoint {0} {1} -> {2}: {3}; {4}"),
     /** A node was added to the fleet. */
--- a/kernel/src/main/java/org/arbutuslock/internal/selection/EndpointSelector.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/selection/EndpointSelector.java
@@ -31,15 +31,22 @@
     private final Clock mClock;
     private final RandomGenerator mRandom;
     private final RegionLinkBudget mLinkBudget;
+    private final long mRegionPenaltyNanos;
 
     /**
      * Creates a selector.
      *
      * @param clock time for the age of observations
      * @param random seeded source of the random choices
+     * @param regionPenaltyNanos time that the price of a request to another region is worth
      * @param linkBudget bytes that may be sent to other regions
      */
-    public EndpointSelector(Clock clock, RandomGenerator random, RegionLinkBudget linkBudget) {
+    public EndpointSelector(
+            Clock clock,
+            RandomGenerator random,
+            RegionLinkBudget linkBudget,
+            long regionPenaltyNanos) {
+        mRegionPenaltyNanos = regionPenaltyNanos;
         mClock = clock;
         mRandom = random;
         mLinkBudget = linkBudget;
@@ -85,10 +92,10 @@
         return local == null ? LINK_BUDGET : new SelectionResult.Chosen(local);
     }
 
-    private static boolean shouldConsiderRegions(Candidate local, WorkClass workClass, long now) {
+    private boolean shouldConsiderRegions(Candidate local, WorkClass workClass, long now) {
         return workClass == WorkClass.SHORT
                 && local.path().expectedNanos(workClass, now)
-                        > ZoneDistance.OTHER_REGION.roundTripNanos();
+                        > ZoneDistance.OTHER_REGION.roundTripNanos() + mRegionPenaltyNanos;
     }
 
     private Candidate chooseInRegion(
@@ -112,17 +119,20 @@
         return faster(near, regional, workClass, now);
     }
 
-    private static Candidate faster(
-            Candidate left, Candidate right, WorkClass workClass, long now) {
+    private Candidate faster(Candidate left, Candidate right, WorkClass workClass, long now) {
         if (left == null || right == null) {
             return left == null ? right : left;
         }
         return expected(left, workClass, now) <= expected(right, workClass, now) ? left : right;
     }
 
-    private static long expected(Candidate candidate, WorkClass workClass, long now) {
-        return candidate.path().expectedNanos(workClass, now)
-                + candidate.distance().roundTripNanos();
+    private long expected(Candidate candidate, WorkClass workClass, long now) {
+        long expected =
+                candidate.path().expectedNanos(workClass, now)
+                        + candidate.distance().roundTripNanos();
+        return candidate.distance() == ZoneDistance.OTHER_REGION
+                ? expected + mRegionPenaltyNanos
+                : expected;
     }
 
     private Candidate chooseAt(
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/NodeSettings.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/NodeSettings.java
@@ -40,6 +40,30 @@
         String service,
         Bounds bounds,
         Optional<Tls> tls) {
+    /**
+     * Returns a copy with other bounds.
+     *
+     * @param other bounds of the copy
+     * @return the copy
+     */
+    public NodeSettings withBounds(Bounds other) {
+        return new NodeSettings(
+                nodeName,
+                region,
+                availabilityZone,
+                callers,
+                peers,
+                announcements,
+                operators,
+                metrics,
+                store,
+                limits,
+                integration,
+                service,
+                other,
+                tls);
+    }
+
     /** What a node is embedded in. */
     public enum Integration {
         /** Own store protocol, configuration and headers. */
@@ -72,9 +96,13 @@
      * @param address address to listen on
      * @param maximumHeaderBytes largest request head
      * @param idleTimeoutMillis time after which an idle connection is closed
+     * @param regionPenaltyMillis time that the price of a request to another region is worth
      */
     public record Callers(
-            InetSocketAddress address, int maximumHeaderBytes, int idleTimeoutMillis) {}
+            InetSocketAddress address,
+            int maximumHeaderBytes,
+            int idleTimeoutMillis,
+            int regionPenaltyMillis) {}
 
     /**
      * Connections between nodes.
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsField.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsField.java
@@ -8,12 +8,15 @@
     // What the node is embedded in; a platform brings its own store, configuration and headers.
     INTEGRATION(
             "integration", "", new FieldRule.Choice(java.util.List.of("none", "platform")), "none"),
-    SERVICE("service", "", new FieldRule.Name(), ""),
+    SERVICE("service", "", new FieldRule.Name(), Defaults.EMPTY),
     CALLERS_ADDRESS("callers.address", "", new FieldRule.Address(), Defaults.REQUIRED),
     CALLERS_MAXIMUM_HEADER_BYTES(
             "callers.maximumHeaderBytes", "bytes", new FieldRule.Whole(1_024, 65_536), "16384"),
     CALLERS_IDLE_TIMEOUT_MILLIS(
             "callers.idleTimeoutMillis", "ms", new FieldRule.Whole(1_000, 3_600_000), "60000"),
+    // Zero leaves the choice of a region to latency alone.
+    CALLERS_REGION_PENALTY_MILLIS(
+            "callers.regionPenaltyMillis", "ms", new FieldRule.Whole(0, 60_000), "0"),
     PEERS_ADDRESS("peers.address", "", new FieldRule.Address(), Defaults.REQUIRED),
     PEERS_ADVERTISED_ADDRESS(
             "peers.advertisedAddress", "", new FieldRule.Address(), Defaults.PEERS_ADDRESS),
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsLoader.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsLoader.java
@@ -96,7 +96,8 @@
                 new NodeSettings.Callers(
                         reader.readAddress(SettingsField.CALLERS_ADDRESS),
                         (int) reader.readWhole(SettingsField.CALLERS_MAXIMUM_HEADER_BYTES),
-                        (int) reader.readWhole(SettingsField.CALLERS_IDLE_TIMEOUT_MILLIS)),
+                        (int) reader.readWhole(SettingsField.CALLERS_IDLE_TIMEOUT_MILLIS),
+                        (int) reader.readWhole(SettingsField.CALLERS_REGION_PENALTY_MILLIS)),
                 buildPeers(reader),
                 new NodeSettings.Announcements(
                         reader.readAddress(SettingsField.ANNOUNCEMENTS_ADDRESS),
--- a/kernel/src/test/java/org/arbutuslock/internal/selection/EndpointSelectorTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/selection/EndpointSelectorTest.java
@@ -29,7 +29,7 @@
         System.out.println("EndpointSelectorTest seed " + SEED);
         mClock = new ManualClock();
         RegionLinkBudget budget = new RegionLinkBudget(mClock, 1000, Duration.ofSeconds(1));
-        mSelector = new EndpointSelector(mClock, new SplittableRandom(SEED), budget);
+        mSelector = new EndpointSelector(mClock, new SplittableRandom(SEED), budget, 0);
         mCandidates = new ArrayList<>();
     }
 
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/SpreadBenchNode.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/SpreadBenchNode.java
@@ -25,6 +25,7 @@
 import org.arbutuslock.internal.configuration.ConfigurationLog;
 import org.arbutuslock.internal.configuration.spread.SpreadRunner;
 import org.arbutuslock.internal.plugins.PluginRuntime;
+import org.arbutuslock.internal.settings.LiveSettings;
 import org.arbutuslock.internal.settings.NodeSettings;
 import org.arbutuslock.testbed.fleet.FleetSettings;
 import org.arbutuslock.testbed.fleet.FreePorts;
@@ -85,6 +86,7 @@
                                 new FleetPlugin(),
                                 new ConfigurationSpreadPlugin()));
         plugins.provide(NodeSettings.class, mSettings);
+        plugins.provide(LiveSettings.class, new LiveSettings(mSettings));
         plugins.provide(Clock.class, clock);
         plugins.provide(
                 LocalNode.class,
