Answer malformed requests as RFC 9112 asks and split the request of a caller

Cause: found by raw requests: targets in absolute form got 404, requests without Host or with two were served, oversized heads got 400. Change: one Host is required, absolute targets route by their own host, 431 and 414 for oversized heads; obs-fold is replaced by spaces by the codec, which RFC 9112, section 5.2, allows.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -21,6 +21,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -85,6 +87,11 @@
         mCurrent = Optional.of(responder);
         if (request.decoderResult().isFailure()) {
             rejectMalformed(responder, request.decoderResult().cause());
+        } else if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+            // RFC 9112, section 3.2: a request without exactly one host is answered with 400.
+            int hosts = request.headers().getAll(HttpHeaderNames.HOST).size();
+            rejectMalformed(
+                    responder, TextResponses.BAD_REQUEST, hosts + " Host fields read, allowed 1");
         } else if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
             responder.closeAfterResponse();
             String text = request.protocolVersion() + " read, allowed HTTP/1.1\n";
@@ -98,16 +105,38 @@
     }
 
     private void rejectMalformed(Responder responder, Throwable cause) {
-        LOGGER.log(
-                Event.CALLER_REQUEST_MALFORMED,
-                mContext.channel().remoteAddress(),
-                cause.getMessage());
+        int status =
+                switch (cause) {
+                    case TooLongHttpHeaderException tooLong -> TextResponses.HEADER_TOO_LARGE;
+                    case TooLongHttpLineException tooLong -> TextResponses.URI_TOO_LONG;
+                    default -> TextResponses.BAD_REQUEST;
+                };
+        rejectMalformed(responder, status, cause.getMessage());
+    }
+
+    private void rejectMalformed(Responder responder, int status, String reason) {
+        LOGGER.log(Event.CALLER_REQUEST_MALFORMED, mContext.channel().remoteAddress(), reason);
         responder.closeAfterResponse();
-        String text = "malformed request: " + cause.getMessage() + "\n";
-        responder.sendWhole(TextResponses.create(TextResponses.BAD_REQUEST, text));
+        String text = "malformed request: " + reason + "\n";
+        responder.sendWhole(TextResponses.create(status, text));
+    }
+
+    /** Splits a target in absolute form (RFC 9112, section 3.2.2) into host and path. */
+    private static void useOriginForm(FullHttpRequest request) {
+        String target = request.uri();
+        int scheme = target.indexOf("://");
+        if (scheme < 0 || target.startsWith("/")) {
+            return;
+        }
+        int authority = scheme + "://".length();
+        int path = target.indexOf('/', authority);
+        int end = path < 0 ? target.length() : path;
+        request.headers().set(HttpHeaderNames.HOST, target.substring(authority, end));
+        request.setUri(path < 0 ? "/" : target.substring(path));
     }
 
     private void route(FullHttpRequest request, Responder responder) {
+        useOriginForm(request);
         Configuration configuration = mServices.configuration().current();
         if (configuration.revision() == 0) {
             responder.sendWhole(TextResponses.notRun("no configuration yet; try another node"));
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -4,16 +4,12 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.RouteDefinition;
-import org.arbutuslock.api.RoutePolicy;
 import org.arbutuslock.daemon.internal.callers.EndpointChooser.AttemptResult;
 import org.arbutuslock.daemon.internal.callers.RequestObserver.RequestResult;
 import org.arbutuslock.daemon.internal.exchange.Exchange;
@@ -25,7 +21,6 @@
 import org.arbutuslock.internal.membership.FleetSnapshot;
 import org.arbutuslock.internal.messages.BufferedResponse;
 import org.arbutuslock.internal.messages.HeaderField;
-import org.arbutuslock.internal.progress.Expectation;
 import org.arbutuslock.internal.selection.LoadReport;
 
 /**
@@ -37,9 +32,6 @@
     private static final int HELD_BYTES = 64 * 1024;
     private static final int SHED_STATUS = 503;
     private static final int FIRST_SERVER_ERROR = 500;
-    // So many refusals cost a few round trips; more would delay the request for little.
-    private static final int SUSPECTS_TO_INSIST = 4;
-    private static final int MAXIMUM_ATTEMPTS = 4;
     private static final long QUERY_PAUSE_MILLIS = 20;
     private static final long STARTING_PAUSE_MILLIS = 20;
     // A home node decides within 40 ms whether a request waits, and callers are told of a refusal
@@ -54,13 +46,10 @@
     private final CallerResponse mResponse;
     private final long mStartNanos;
     private final long mDeadlineNanos;
-    private final Set<EndpointId> mTried = new HashSet<>();
-    private final Set<EndpointId> mPathFailed = new HashSet<>();
+    private final TriedEndpoints mTried = new TriedEndpoints();
     private final List<Attempt> mPossiblyRun = new ArrayList<>();
     private Optional<Attempt> mShed = Optional.empty();
     private final List<Attempt> mLive = new ArrayList<>();
-    private final Set<EndpointId> mSuspects = new HashSet<>();
-    private boolean mInsisting;
     private Future<?> mDeadline;
     private String mLastRefusal = "no endpoint of the service is known";
     private String mLastUnknown = "";
@@ -69,6 +58,7 @@
     private boolean mDone;
     private Optional<SentResponse> mSent = Optional.empty();
     private final RequestLog mLog;
+    private final RouteObjective mObjective;
     private int mAnsweredStatus;
 
     CallerRequest(
@@ -81,6 +71,7 @@
         mInput = input;
         mResponse = response;
         mStartNanos = services.clock().nanoTime();
+        mObjective = new RouteObjective(input.route());
         mLog = new RequestLog(services.dialect().requestName(input.headers()));
         mDeadlineNanos = mStartNanos + TimeUnit.MILLISECONDS.toNanos(input.patienceMillis());
     }
@@ -112,12 +103,13 @@
         if (mDone) {
             return;
         }
-        Optional<FleetSnapshot.Member> chosen = choose();
+        Optional<FleetSnapshot.Member> chosen =
+                mTried.choose(mServices.chooser(), route(), mInput.idempotent());
         if (chosen.isEmpty() && mAttempts == 0 && mServices.isStarting()) {
             mEventLoop.schedule(this::startAttempt, STARTING_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        if (chosen.isEmpty() || mAttempts == mostAttempts()) {
+        if (chosen.isEmpty() || mAttempts == mObjective.mostAttempts()) {
             if (mLive.isEmpty()) {
                 refuse();
             }
@@ -129,40 +121,10 @@
         attempt.start();
     }
 
-    /** Routes that state an objective go round suspect endpoints, which takes more submissions. */
-    private int mostAttempts() {
-        return hasObjective() ? RequestId.ATTEMPTS : MAXIMUM_ATTEMPTS;
-    }
-
-    private boolean hasObjective() {
-        return route().policy().targetMillis() < RoutePolicy.DEFAULT.targetMillis();
-    }
-
-    /** Returns when a response that has not started is overdue: at half of the objective. */
-    private int overdueMillis() {
-        return hasObjective()
-                ? Math.max(1, route().policy().targetMillis() / 2)
-                : Expectation.NONE.overdueMillis();
-    }
-
     private void cancelLive() {
         List.copyOf(mLive).forEach(Attempt::cancel);
     }
 
-    /** Prefers endpoints that were not tried, then those to which only the path failed. */
-    private Optional<FleetSnapshot.Member> choose() {
-        EndpointChooser chooser = mServices.chooser();
-        Optional<FleetSnapshot.Member> untried =
-                chooser.choose(route(), mInput.idempotent(), mTried);
-        if (untried.isPresent()) {
-            return untried;
-        }
-        // Nobody is left that does not refuse: a suspect endpoint is better than none.
-        mInsisting |= !mSuspects.isEmpty();
-        boolean retryable = mTried.removeAll(mPathFailed) | mTried.removeAll(mSuspects);
-        return retryable ? chooser.choose(route(), mInput.idempotent(), mTried) : Optional.empty();
-    }
-
     private void retryOrElse(Runnable otherwise) {
         boolean timeLeft = mServices.clock().nanoTime() < mDeadlineNanos;
         if (canStillComplete()
@@ -190,7 +152,6 @@
         switch (reason) {
             case SUSPECT -> {
                 if (mServices.clock().nanoTime() < mDeadlineNanos) {
-                    mInsisting |= mSuspects.size() >= SUSPECTS_TO_INSIST;
                     startAttempt();
                 } else {
                     refuse();
@@ -315,19 +276,21 @@
 
         private void start() {
             mServices.chooser().started(mMember, route());
-            Expectation expectation = new Expectation(overdueMillis(), mayInsist());
-            ExecutionRequest request = mInput.toRequest(mId, mMember, mDeadlineNanos, expectation);
+            ExecutionRequest request =
+                    mInput.toRequest(
+                            mId,
+                            mMember,
+                            mDeadlineNanos,
+                            mObjective.expectation(mTried.isInsisting()));
             mExchange =
                     mServices.homeNodes().submit(mMember.node(), request, this::handleOnEventLoop);
-            if (mInput.idempotent() && hasObjective()) {
-                mOverdue = mEventLoop.schedule(this::hedge, overdueMillis(), TimeUnit.MILLISECONDS);
+            if (mInput.idempotent() && mObjective.isStated()) {
+                mOverdue =
+                        mEventLoop.schedule(
+                                this::hedge, mObjective.overdueMillis(), TimeUnit.MILLISECONDS);
             }
         }
 
-        private boolean mayInsist() {
-            return mInsisting || !hasObjective();
-        }
-
         /** Starts a second submission elsewhere while this one is overdue. */
         private void hedge() {
             boolean waiting = !mClosed && mStatus == 0 && !mDone && mSent.isEmpty();
@@ -366,7 +329,7 @@
                     mLastRefusal = refused.reason() + ": " + refused.detail();
                     boolean suspect = refused.reason() == RefusalReason.SUSPECT;
                     if (suspect) {
-                        mSuspects.add(mMember.endpoint().id());
+                        mTried.addSuspect(mMember.endpoint().id());
                     }
                     end(suspect ? AttemptResult.SUSPECT : AttemptResult.REFUSED);
                     acknowledge();
@@ -382,7 +345,7 @@
                 case ResponseEvent.SessionLost(Submission submission, String detail) -> {
                     mSubmission = Optional.of(submission);
                     end(AttemptResult.PATH_FAILED);
-                    mPathFailed.add(mMember.endpoint().id());
+                    mTried.addPathFailure(mMember.endpoint().id());
                     noteSubmitted(detail);
                     recoverFromLostSession(detail);
                 }
@@ -481,7 +444,7 @@
         }
 
         private boolean shouldRetryShed() {
-            boolean failure = mStatus == SHED_STATUS || hasObjective() && isServerFailure();
+            boolean failure = mStatus == SHED_STATUS || mObjective.isStated() && isServerFailure();
             return failure && mInput.idempotent();
         }
 
