--- a/testbed/src/main/java/org/arbutuslock/testbed/fleet/FleetSettings.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fleet/FleetSettings.java
@@ -16,6 +16,11 @@
     private static final int DRAIN_SECONDS = 30;
     private static final int CONNECTIONS = 10_000;
 
+    private static final double ANNOUNCEMENT_SECONDS = 3;
+    // The defaults of the settings file.
+    private static final NodeSettings.Bounds BOUNDS =
+            new NodeSettings.Bounds(0.75, 3, 0.2, 10, 10, 3_600);
+
     private FleetSettings() {}
 
     /**
@@ -39,13 +44,16 @@
                 name,
                 region,
                 availabilityZone,
-                new NodeSettings.Callers(FreePorts.next(), HEADER_BYTES, IDLE_MILLIS),
+                new NodeSettings.Callers(FreePorts.next(), HEADER_BYTES, IDLE_MILLIS, 0),
                 new NodeSettings.Peers(peers, peers, seeds),
-                new NodeSettings.Announcements(FreePorts.next()),
+                new NodeSettings.Announcements(FreePorts.next(), ANNOUNCEMENT_SECONDS),
                 new NodeSettings.Operators(FreePorts.next()),
                 new NodeSettings.Metrics(FreePorts.next()),
                 new NodeSettings.Store(store, STORE_CALLS_PER_SECOND, STORE_TIMEOUT_MILLIS),
                 new NodeSettings.Limits(KEPT_BYTES, QUEUE_LENGTH, DRAIN_SECONDS, CONNECTIONS),
+                NodeSettings.Integration.NONE,
+                "",
+                BOUNDS,
                 Optional.empty());
     }
 
@@ -70,6 +78,9 @@
                 settings.metrics(),
                 settings.store(),
                 settings.limits(),
+                settings.integration(),
+                settings.service(),
+                settings.bounds(),
                 settings.tls());
     }
 }
