--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/rendezvous/StoreRendezvous.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/rendezvous/StoreRendezvous.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.store.LeaseResult;
 import org.arbutuslock.api.store.ListResult;
 import org.arbutuslock.api.store.PlatformStore;
@@ -47,7 +49,7 @@
     private final LocalNode mLocalNode;
     private final FleetContacts mContacts;
     private final Supplier<FleetSnapshot> mFleet;
-    private final org.arbutuslock.api.Clock mClock;
+    private final Clock mClock;
     private final EventLoop mEventLoop;
     private long mLease = PlatformStore.NO_LEASE;
     private boolean mRegistered;
@@ -60,7 +62,7 @@
             LocalNode localNode,
             FleetContacts contacts,
             Supplier<FleetSnapshot> fleet,
-            org.arbutuslock.api.Clock clock,
+            Clock clock,
             EventLoop eventLoop) {
         mStore = store;
         mLocalNode = localNode;
@@ -93,7 +95,7 @@
         }
     }
 
-    private <T> java.util.function.Consumer<T> onEventLoop(java.util.function.Consumer<T> step) {
+    private <T> Consumer<T> onEventLoop(Consumer<T> step) {
         return result -> mEventLoop.execute(() -> step.accept(result));
     }
 
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsField.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsField.java
@@ -1,13 +1,14 @@
 package org.arbutuslock.internal.settings;
 
+import java.util.List;
+
 /** Every field of a settings file with its unit, range and default. */
 enum SettingsField {
     NODE_NAME("nodeName", "", new FieldRule.Name(), Defaults.REQUIRED),
     REGION("region", "", new FieldRule.Name(), Defaults.REQUIRED),
     AVAILABILITY_ZONE("availabilityZone", "", new FieldRule.Name(), Defaults.REQUIRED),
     // What the node is embedded in; a platform brings its own store, configuration and headers.
-    INTEGRATION(
-            "integration", "", new FieldRule.Choice(java.util.List.of("none", "platform")), "none"),
+    INTEGRATION("integration", "", new FieldRule.Choice(List.of("none", "platform")), "none"),
     SERVICE("service", "", new FieldRule.Name(), Defaults.EMPTY),
     CALLERS_ADDRESS("callers.address", "", new FieldRule.Address(), Defaults.REQUIRED),
     CALLERS_MAXIMUM_HEADER_BYTES(
