Answer requests that arrive while a node closes its connections at the end of a shutdown

Ruled out: the drain limit, which was not reached. Change: after the first quiet moment each connection closes on its own event loop when it has no request, after what was written; what was read before is served, and a second quiet moment is awaited.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -57,6 +57,7 @@
     private final Queue<FullHttpRequest> mPipelined = new ArrayDeque<>();
     private ChannelHandlerContext mContext;
     private Optional<Responder> mCurrent = Optional.empty();
+    private boolean mClosing;
 
     CallerConnection(CallerServer server, EntryServices services) {
         mServer = server;
@@ -80,6 +81,19 @@
         startRequest(request);
     }
 
+    /** Closes the connection now, or after the response of the current request. Event loop only. */
+    void closeWhenIdle() {
+        mClosing = true;
+        if (mCurrent.isEmpty()) {
+            closeAfterWrites();
+        }
+    }
+
+    /** Closes after what was written before, which a slow caller may not have taken yet. */
+    private void closeAfterWrites() {
+        mContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
     private void startRequest(FullHttpRequest request) {
         mServer.requestStarted();
         boolean keepAlive = HttpUtil.isKeepAlive(request);
@@ -198,6 +212,9 @@
 
     private void finishRequest(boolean keepAlive) {
         mCurrent = Optional.empty();
+        if (mClosing && mPipelined.isEmpty()) {
+            closeAfterWrites();
+        }
         if (!keepAlive) {
             return;
         }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -110,6 +110,32 @@
         mListener.close().syncUninterruptibly();
     }
 
+    /**
+     * Closes every connection as soon as it has no request in progress. A request that was read
+     * before its connection closes is still answered.
+     */
+    public void closeIdleConnections() {
+        for (Channel connection : mConnections) {
+            connection.eventLoop().execute(() -> closeWhenIdle(connection));
+        }
+    }
+
+    private static void closeWhenIdle(Channel connection) {
+        CallerConnection handler = connection.pipeline().get(CallerConnection.class);
+        if (handler != null) {
+            handler.closeWhenIdle();
+        }
+    }
+
+    /**
+     * Counts the connections of callers.
+     *
+     * @return open connections
+     */
+    public int openConnections() {
+        return mConnections.size();
+    }
+
     /** Closes the listener and all connections. */
     public void close() {
         closeListener();
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -146,9 +146,17 @@
         mHome.drain();
         mServer.closeListener();
         long start = mClock.nanoTime();
+        awaitQuiet(start);
+        // A request can arrive on an open connection until the moment at which it closes.
+        mServer.closeIdleConnections();
+        awaitQuiet(start);
+    }
+
+    /** Waits until nothing has been in progress for a moment, up to the drain limit. */
+    private void awaitQuiet(long start) {
         long limitNanos = (long) (mDrainSeconds * 1e9);
-        long lastBusyNanos = start;
-        long now = start;
+        long now = mClock.nanoTime();
+        long lastBusyNanos = now;
         while (now - lastBusyNanos < DRAIN_QUIET.toNanos()) {
             LockSupport.parkNanos(DRAIN_POLL.toNanos());
             now = mClock.nanoTime();
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerConnectionTest.java
@@ -1,6 +1,8 @@
 package org.arbutuslock.daemon.internal.callers;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
@@ -14,6 +16,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -45,6 +49,47 @@
         }
     }
 
+    @Test
+    public void should_answer_a_request_that_was_read_before_its_connection_closes() {
+        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        CallerServer server =
+                new CallerServer(
+                        loops,
+                        new InetSocketAddress("127.0.0.1", 0),
+                        new CallerLimits(8_192, Duration.ofSeconds(60), 10),
+                        null);
+        try {
+            HeldQueue held = new HeldQueue();
+            CallerConnection connection = new CallerConnection(server, null);
+            EmbeddedChannel busy = new EmbeddedChannel(held, connection);
+            busy.writeInbound(
+                    new DefaultFullHttpRequest(
+                            HttpVersion.HTTP_1_1, HttpMethod.GET, "/.arbutuslock/requests/x"));
+            connection.closeWhenIdle();
+            assertTrue(busy.isActive());
+            held.mPromises.forEach(ChannelPromise::setSuccess);
+            busy.runPendingTasks();
+            assertFalse(busy.isActive());
+            CallerConnection idleConnection = new CallerConnection(server, null);
+            EmbeddedChannel idle = new EmbeddedChannel(idleConnection);
+            idleConnection.closeWhenIdle();
+            assertFalse(idle.isActive());
+        } finally {
+            server.close();
+            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+    }
+
+    /** Stands for a caller that takes what was written later. */
+    private static final class HeldQueue extends ChannelOutboundHandlerAdapter {
+        private final List<ChannelPromise> mPromises = new ArrayList<>();
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            mPromises.add(promise);
+        }
+    }
+
     /** Stands for a caller that does not read. */
     private static final class HeldWrites extends ChannelOutboundHandlerAdapter {
         private ChannelPromise mPromise;
