--- a/kernel/src/main/java/org/arbutuslock/internal/retry/RetryBudget.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/retry/RetryBudget.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.ToLongFunction;
 import org.arbutuslock.api.Clock;
 
 /**
@@ -62,16 +63,7 @@
      * @return true when the request may be sent again
      */
     public boolean tryRetry() {
-        while (true) {
-            State current = mState.get();
-            State advanced = advance(current);
-            if (sum(advanced.retries()) >= allowedRetries(advanced)) {
-                return false;
-            }
-            if (mState.compareAndSet(current, addRetry(advanced))) {
-                return true;
-            }
-        }
+        return tryRetry(this::allowedRetries);
     }
 
     /**
@@ -81,11 +73,14 @@
      * @return true when the budget allows it; it is then used up
      */
     public boolean tryRetry(int extraRetries) {
+        return tryRetry(state -> share(state) + extraRetries);
+    }
+
+    private boolean tryRetry(ToLongFunction<State> allowed) {
         while (true) {
             State current = mState.get();
             State advanced = advance(current);
-            long share = sum(advanced.firstAttempts()) * mRetryPercent / WHOLE_PERCENT;
-            if (sum(advanced.retries()) >= share + extraRetries) {
+            if (sum(advanced.retries()) >= allowed.applyAsLong(advanced)) {
                 return false;
             }
             if (mState.compareAndSet(current, addRetry(advanced))) {
@@ -95,8 +90,11 @@
     }
 
     private long allowedRetries(State state) {
-        long share = sum(state.firstAttempts()) * mRetryPercent / WHOLE_PERCENT;
-        return Math.max(mMinimumRetries, share);
+        return Math.max(mMinimumRetries, share(state));
+    }
+
+    private long share(State state) {
+        return sum(state.firstAttempts()) * mRetryPercent / WHOLE_PERCENT;
     }
 
     private State advance(State state) {
