Start pipelined requests before earlier ones are answered

Cause: CallerConnection kept the requests that a caller sends ahead in a queue and started one after the other. Each spent its time limit behind its predecessor, its clock started late, and a request that hung took the whole connection with it. Read in the code besides: 413, 417, 100 and 408 were written at once, in front of the responses of earlier requests.

Ruled out: half-closed callers are not served on, because TCP shows them like callers that left (docs/design.md 4.1).

Deadlines count from the arrival. RequestAggregator and HeadTimeout leave their refusals to the connection, which answers them in turn. A closing connection is read on for a short time, so that no reset destroys its last response. 413 now closes the connection.

HeadTimeoutTest keeps its check; its fixture has the connection that now writes the 408. Before the change PipeliningTest cannot pass: followers did not start. A double write that the embedded channel showed when the deadline fires inside a write is mended by marking the response as ended first.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -1,67 +1,54 @@
 package org.arbutuslock.daemon.internal.callers;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
-import java.util.ArrayDeque;
-import java.util.List;
 import java.util.Optional;
-import java.util.Queue;
-import java.util.concurrent.ThreadLocalRandom;
-import org.arbutuslock.api.RequestId;
-import org.arbutuslock.api.RouteDefinition;
-import org.arbutuslock.api.TenantDefinition;
-import org.arbutuslock.daemon.internal.exchange.HttpHeaderFields;
-import org.arbutuslock.internal.configuration.Configuration;
-import org.arbutuslock.internal.dialect.RequestDialect;
+import org.arbutuslock.daemon.internal.callers.RequestPreparer.MalformedRequest;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
-import org.arbutuslock.internal.messages.BufferedResponse;
-import org.arbutuslock.internal.messages.HeaderField;
-import org.arbutuslock.internal.routing.RequestMethods;
 
 /**
- * Handles one connection of a caller. Pipelined requests are processed one after the other, so that
- * their responses keep the order of the requests.
+ * Handles one connection of a caller. A {@link RequestPipeline} decides in which order its requests
+ * start; their responses keep the order of the requests.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final EventLogger LOGGER = EventLogger.forComponent("callers");
-    private static final String TENANT_HEADER = "arbutuslock-tenant";
-    private static final String OUTCOME_PATH = "/.arbutuslock/requests/";
-    private static final int MAXIMUM_PIPELINED_REQUESTS = 16;
-    private static final int HTTP_VERSION_NOT_SUPPORTED = 505;
+    private static final int MAXIMUM_REQUESTS_IN_PROGRESS = 16;
+    private static final int MAXIMUM_WAITING_REQUESTS = 16;
+    private static final int MAXIMUM_HELD_RESPONSE_BYTES = 256 * 1024;
 
     private final CallerServer mServer;
     private final EntryServices mServices;
-    private final Queue<FullHttpRequest> mPipelined = new ArrayDeque<>();
+    private final HeldBytes mHeldBytes = new HeldBytes(MAXIMUM_HELD_RESPONSE_BYTES);
+    private final RequestPipeline<ConnectionRequest> mPipeline;
     private ChannelHandlerContext mContext;
-    private Optional<Responder> mCurrent = Optional.empty();
     private boolean mClosing;
+    private boolean mClosedByResponse;
 
-    CallerConnection(CallerServer server, EntryServices services) {
+    /**
+     * Creates the handler of a connection.
+     *
+     * @param server server that accepted the connection
+     * @param services components that handle the requests
+     * @param maximumBodyBytes maximum size of a request body, in bytes; no more is read while
+     *     requests with this total size wait to start
+     */
+    CallerConnection(CallerServer server, EntryServices services, int maximumBodyBytes) {
         mServer = server;
         mServices = services;
+        mPipeline =
+                new RequestPipeline<>(
+                        MAXIMUM_REQUESTS_IN_PROGRESS,
+                        MAXIMUM_WAITING_REQUESTS,
+                        maximumBodyBytes,
+                        mHeldBytes);
     }
 
     @Override
@@ -70,34 +57,58 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        if (mCurrent.isPresent()) {
-            mPipelined.add(request.retain());
-            if (mPipelined.size() >= MAXIMUM_PIPELINED_REQUESTS) {
-                context.channel().config().setAutoRead(false);
-            }
-            return;
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+        if (mServer.isDraining() && !mPipeline.isEmpty()) {
+            // The response of the last request before this one closes the connection.
+            mPipeline.rejectFurther();
         }
-        startRequest(request);
+        add(message.retain(), mServer.preparer().findFault(message));
+    }
+
+    private void add(FullHttpRequest message, Optional<MalformedRequest> fault) {
+        ConnectionRequest request = new ConnectionRequest(mServer, mServices, this, message, fault);
+        if (!mPipeline.isRejecting()) {
+            fault.ifPresent(this::logFault);
+        }
+        boolean last = request.isLastOfConnection();
+        mPipeline.add(request);
+        if (last) {
+            mPipeline.rejectFurther();
+        }
+        updateReading();
+    }
+
+    private void logFault(MalformedRequest fault) {
+        LOGGER.log(
+                Event.CALLER_REQUEST_MALFORMED, mContext.channel().remoteAddress(), fault.reason());
+    }
+
+    private void updateReading() {
+        mContext.channel().config().setAutoRead(mPipeline.canRead());
     }
 
     /**
-     * Closes the connection now, or after the response of the current request. Must be called on
-     * the event loop of the connection.
+     * Closes the connection now, or after the responses of the requests that were read. Must be
+     * called on the event loop of the connection.
      */
     void closeWhenIdle() {
         mClosing = true;
-        if (mCurrent.isEmpty()) {
+        mPipeline.rejectFurther();
+        closeIfIdle();
+    }
+
+    private void closeIfIdle() {
+        if (mClosing && !mClosedByResponse && mPipeline.isEmpty()) {
             closeAfterWrites();
         }
     }
 
     /**
-     * Answers the current request with its currently known outcome. Must be called on the event
-     * loop of the connection.
+     * Answers the requests in progress with their currently known outcomes. Must be called on the
+     * event loop of the connection.
      */
-    void abortRequest() {
-        mCurrent.ifPresent(Responder::abortForShutdown);
+    void abortRequests() {
+        mPipeline.started().forEach(ConnectionRequest::abortForShutdown);
     }
 
     /**
@@ -107,169 +118,65 @@
         mContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
 
-    private void startRequest(FullHttpRequest request) {
-        mServer.requestStarted();
-        boolean keepAlive = HttpUtil.isKeepAlive(request);
-        Responder responder = new Responder(keepAlive, request.method().equals(HttpMethod.HEAD));
-        mCurrent = Optional.of(responder);
-        if (request.decoderResult().isFailure()) {
-            rejectMalformed(responder, request.decoderResult().cause());
-        } else if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
-            // RFC 9112, section 3.2: a request without exactly one Host field is answered with 400.
-            int hosts = request.headers().getAll(HttpHeaderNames.HOST).size();
-            rejectMalformed(
-                    responder,
-                    TextResponses.BAD_REQUEST,
-                    hosts + " Host header fields read, exactly 1 allowed");
-        } else if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-            responder.closeAfterResponse();
-            String text = request.protocolVersion() + " read, only HTTP/1.1 allowed\n";
-            responder.sendComplete(TextResponses.create(HTTP_VERSION_NOT_SUPPORTED, text));
-        } else if (mServer.isRefusing()) {
-            responder.sendComplete(TextResponses.notRun("the node is shutting down"));
-        } else if (request.uri().startsWith(OUTCOME_PATH)) {
-            new OutcomeRequestHandler(mServices, mContext.channel().eventLoop(), responder)
-                    .start(request.uri().substring(OUTCOME_PATH.length()));
-        } else {
-            route(request, responder);
-        }
+    ChannelHandlerContext context() {
+        return mContext;
     }
 
-    private void rejectMalformed(Responder responder, Throwable cause) {
-        int status =
-                switch (cause) {
-                    case TooLongHttpHeaderException tooLong -> TextResponses.HEADER_TOO_LARGE;
-                    case TooLongHttpLineException tooLong -> TextResponses.URI_TOO_LONG;
-                    default -> TextResponses.BAD_REQUEST;
-                };
-        rejectMalformed(responder, status, cause.getMessage());
+    HeldBytes heldBytes() {
+        return mHeldBytes;
     }
 
-    private void rejectMalformed(Responder responder, int status, String reason) {
-        LOGGER.log(Event.CALLER_REQUEST_MALFORMED, mContext.channel().remoteAddress(), reason);
-        responder.closeAfterResponse();
-        String text = "malformed request: " + reason + "\n";
-        responder.sendComplete(TextResponses.create(status, text));
+    /** Returns whether requests that were read have no complete response yet. */
+    boolean hasRequests() {
+        return !mPipeline.isEmpty();
     }
 
-    /**
-     * Converts a request target in absolute form (RFC 9112, section 3.2.2) into a path and a Host
-     * field.
-     */
-    private static void useOriginForm(FullHttpRequest request) {
-        String target = request.uri();
-        int scheme = target.indexOf("://");
-        if (scheme < 0 || target.startsWith("/")) {
-            return;
-        }
-        int authority = scheme + "://".length();
-        int path = target.indexOf('/', authority);
-        int end = path < 0 ? target.length() : path;
-        request.headers().set(HttpHeaderNames.HOST, target.substring(authority, end));
-        request.setUri(path < 0 ? "/" : target.substring(path));
+    /** Returns whether the shutdown of the node makes this response the last of the connection. */
+    boolean closesAfter(ConnectionRequest request) {
+        return mServer.isDraining() && mPipeline.isLast(request);
     }
 
-    private void route(FullHttpRequest request, Responder responder) {
-        useOriginForm(request);
-        Configuration configuration = mServices.configuration().current();
-        if (configuration.revision() == 0) {
-            responder.sendComplete(TextResponses.notRun("no configuration yet; try another node"));
-            return;
-        }
-        String host = request.headers().get(HttpHeaderNames.HOST, "");
-        Optional<RouteDefinition> matched =
-                configuration
-                        .routeTable()
-                        .match(
-                                request.method().name(),
-                                host,
-                                request.uri(),
-                                name -> request.headers().get(name));
-        if (matched.isEmpty()) {
-            String text =
-                    "no route for "
-                            + request.method()
-                            + " "
-                            + request.uri()
-                            + " at revision "
-                            + configuration.revision()
-                            + "\n";
-            responder.sendComplete(
-                    TextResponses.create(
-                            TextResponses.NOT_FOUND,
-                            text,
-                            new HeaderField("arbutuslock-outcome", "not-run")));
-            return;
-        }
-        RouteDefinition route = matched.get().resolve(ThreadLocalRandom.current().nextDouble());
-        RoutedRequest routed = toRoutedRequest(request, route, configuration);
-        responder.attach(
-                new CallerRequest(mServices, mContext.channel().eventLoop(), routed, responder));
+    /** Cancels or drops the requests behind one whose response closes the connection. */
+    void closeBehind(ConnectionRequest request) {
+        mClosedByResponse = true;
+        mPipeline.closeBehind(request);
     }
 
-    private RoutedRequest toRoutedRequest(
-            FullHttpRequest request, RouteDefinition route, Configuration configuration) {
-        RequestId id = mServer.nextRequestId();
-        String method = request.method().name();
-        String tenant = request.headers().get(TENANT_HEADER, "");
-        RequestDialect dialect = mServices.dialect();
-        long callerTimeoutMillis =
-                dialect.callerTimeoutMillis(name -> request.headers().get(name))
-                        .orElse(Long.MAX_VALUE);
-        int weight = configuration.tenant(tenant).map(TenantDefinition::weight).orElse(1);
-        return new RoutedRequest(
-                id,
-                route,
-                RequestMethods.isIdempotent(route, method),
-                method,
-                request.uri(),
-                dialect.forwardedHeaders(HttpHeaderFields.withoutHopByHopFields(request.headers())),
-                ByteBufUtil.getBytes(request.content()),
-                tenant,
-                weight,
-                Math.min(route.deadlineMillis(), callerTimeoutMillis));
-    }
-
-    private void finishRequest(boolean keepAlive) {
-        mCurrent = Optional.empty();
-        if (mClosing && mPipelined.isEmpty()) {
-            closeAfterWrites();
-        }
-        if (!keepAlive) {
-            return;
-        }
-        FullHttpRequest next = mPipelined.poll();
-        if (next == null) {
-            mContext.channel().config().setAutoRead(true);
-            return;
-        }
-        try {
-            startRequest(next);
-        } finally {
-            next.release();
-        }
+    /** Continues with the next request after the response of {@code request} has ended. */
+    void finish(ConnectionRequest request) {
+        mPipeline.finish(request);
+        closeIfIdle();
+        updateReading();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        mCurrent.ifPresent(Responder::connectionClosed);
-        mCurrent = Optional.empty();
-        mPipelined.forEach(FullHttpRequest::release);
-        mPipelined.clear();
+        mPipeline.close();
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        mCurrent.ifPresent(Responder::runCallbacksWhileWritable);
+        mPipeline.started().stream().findFirst().ifPresent(ConnectionRequest::connectionWritable);
     }
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent && mCurrent.isEmpty()) {
-            context.close();
+        switch (event) {
+            case IdleStateEvent idle when mPipeline.isEmpty() -> context.close();
+            case HeadTimeout.Expired expired -> rejectIncompleteHead(expired);
+            default -> {}
         }
     }
 
+    /** Answers a request whose head is incomplete, behind the responses of earlier requests. */
+    private void rejectIncompleteHead(HeadTimeout.Expired expired) {
+        String reason = "no complete request head within " + expired.limit().toMillis() + " ms";
+        add(
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER),
+                Optional.of(new MalformedRequest(TextResponses.REQUEST_TIMEOUT, reason)));
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         LOGGER.log(
@@ -278,119 +185,4 @@
                 cause.getMessage());
         context.close();
     }
-
-    /** Writes the response of the current request to the connection. */
-    private final class Responder implements ResponseWriter {
-        private final boolean mHeadRequest;
-        private final Queue<Runnable> mPendingCallbacks = new ArrayDeque<>();
-        private boolean mKeepAlive;
-        private boolean mFinished;
-        private Optional<CallerRequest> mRequest = Optional.empty();
-
-        private Responder(boolean keepAlive, boolean headRequest) {
-            mKeepAlive = keepAlive;
-            mHeadRequest = headRequest;
-        }
-
-        private void closeAfterResponse() {
-            mKeepAlive = false;
-        }
-
-        private void attach(CallerRequest request) {
-            mRequest = Optional.of(request);
-            request.start();
-        }
-
-        @Override
-        public void sendComplete(BufferedResponse response) {
-            ByteBuf body = Unpooled.wrappedBuffer(response.body());
-            DefaultFullHttpResponse message =
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.valueOf(response.status()),
-                            body);
-            addHeaders(message, response.headers());
-            boolean bodyAllowed = response.status() != 204 && response.status() != 304;
-            if (bodyAllowed && !mHeadRequest) {
-                HttpUtil.setContentLength(message, response.body().length);
-            }
-            end(mContext.writeAndFlush(message));
-        }
-
-        @Override
-        public void start(int status, List<HeaderField> headers) {
-            HttpResponse message =
-                    new DefaultHttpResponse(
-                            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-            addHeaders(message, headers);
-            if (!HttpUtil.isContentLengthSet(message)) {
-                HttpUtil.setTransferEncodingChunked(message, true);
-            }
-            mContext.write(message, mContext.voidPromise());
-        }
-
-        private void addHeaders(HttpMessage message, List<HeaderField> headers) {
-            for (HeaderField field : headers) {
-                message.headers().add(field.name(), field.value());
-            }
-            if (mServer.isDraining()) {
-                mKeepAlive = false;
-            }
-            if (!mKeepAlive) {
-                message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-        }
-
-        @Override
-        public void sendPart(byte[] data, boolean last, Runnable sent) {
-            ByteBuf buffer = Unpooled.wrappedBuffer(data);
-            HttpContent content =
-                    last ? new DefaultLastHttpContent(buffer) : new DefaultHttpContent(buffer);
-            if (last) {
-                end(mContext.writeAndFlush(content));
-                return;
-            }
-            mContext.writeAndFlush(content, mContext.voidPromise());
-            if (mContext.channel().isWritable()) {
-                sent.run();
-            } else {
-                mPendingCallbacks.add(sent);
-            }
-        }
-
-        private void runCallbacksWhileWritable() {
-            while (mContext.channel().isWritable() && !mPendingCallbacks.isEmpty()) {
-                mPendingCallbacks.remove().run();
-            }
-        }
-
-        @Override
-        public void abort() {
-            mFinished = true;
-            mServer.requestFinished();
-            mContext.close();
-        }
-
-        private void end(ChannelFuture written) {
-            mFinished = true;
-            // A request is in progress until the whole response is written to the connection.
-            written.addListener(done -> mServer.requestFinished());
-            if (!mKeepAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
-            // Deferred, so that this request has recorded its result before the next one starts.
-            mContext.channel().eventLoop().execute(() -> finishRequest(mKeepAlive));
-        }
-
-        private void abortForShutdown() {
-            mRequest.ifPresent(CallerRequest::abortForShutdown);
-        }
-
-        private void connectionClosed() {
-            if (!mFinished) {
-                mServer.requestFinished();
-                mRequest.ifPresent(CallerRequest::cancel);
-            }
-        }
-    }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -69,20 +69,24 @@
         mEventLoop = eventLoop;
         mRequest = request;
         mResponseWriter = responseWriter;
-        mStartNanos = services.clock().nanoTime();
+        mStartNanos = request.arrivalNanos();
         mTried = new TriedEndpoints(request.idempotent());
         mAttemptPolicy = new AttemptPolicy(request.route());
         mLog = new RequestLog(services.dialect().requestName(request.headers()));
         mDeadlineNanos = mStartNanos + TimeUnit.MILLISECONDS.toNanos(request.timeoutMillis());
     }
 
-    /** Starts the first attempt. */
+    /** Starts the first attempt, unless the request waited on its connection until its deadline. */
     void start() {
         mDeadlineTimer =
                 mEventLoop.schedule(
                         this::deadlinePassed,
-                        mDeadlineNanos - mStartNanos + DEADLINE_GRACE_NANOS,
+                        mDeadlineNanos - mServices.clock().nanoTime() + DEADLINE_GRACE_NANOS,
                         TimeUnit.NANOSECONDS);
+        if (!isTimeLeft()) {
+            deadlinePassed();
+            return;
+        }
         mServices.retries().recordFirstAttempt(route().service());
         startAttempt();
     }
@@ -347,7 +351,7 @@
                     mLoad = refused.load();
                     mLastRefusalDetail = refused.reason() + ": " + refused.detail();
                     mRefusal = Optional.of(refused.reason());
-                    end(toResult(refused.reason()));
+                    end(AttemptResult.ofRefusal(refused.reason()));
                     recordHealthRefusal(refused.reason());
                     acknowledge();
                     retryAfterRefusal(refused.reason());
@@ -369,10 +373,6 @@
             }
         }
 
-        private static AttemptResult toResult(RefusalReason reason) {
-            return reason == RefusalReason.SUSPECT ? AttemptResult.SUSPECT : AttemptResult.REFUSED;
-        }
-
         private void recordHealthRefusal(RefusalReason reason) {
             if (reason == RefusalReason.SUSPECT) {
                 mTried.addSuspect(mMember.endpoint().id());
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -9,7 +9,6 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -32,6 +31,7 @@
     private final AtomicInteger mActiveRequests = new AtomicInteger();
     private final AtomicLong mLastSequence = new AtomicLong();
     private final EntryServices mServices;
+    private final RequestPreparer mPreparer;
     private volatile boolean mDraining;
     private volatile boolean mRefusing;
 
@@ -49,6 +49,7 @@
             CallerLimits limits,
             EntryServices services) {
         mServices = services;
+        mPreparer = new RequestPreparer(this, services);
         mListener =
                 new ServerBootstrap()
                         .group(eventLoops)
@@ -80,6 +81,8 @@
         HttpDecoderConfig decoder =
                 new HttpDecoderConfig().setMaxHeaderSize(inForce.maximumHeaderBytes());
         HeadTimeout headTimeout = new HeadTimeout(inForce.headTimeout());
+        CallerConnection connection =
+                new CallerConnection(this, mServices, inForce.maximumBodyBytes());
         long idleMillis = inForce.idleTimeout().toMillis();
         channel.pipeline()
                 .addLast(
@@ -87,8 +90,8 @@
                         headTimeout,
                         new HttpServerCodec(decoder),
                         headTimeout.observer(),
-                        new HttpObjectAggregator(inForce.maximumBodyBytes()),
-                        new CallerConnection(this, mServices));
+                        new RequestAggregator(inForce.maximumBodyBytes(), connection::hasRequests),
+                        connection);
     }
 
     /**
@@ -132,7 +135,7 @@
 
     /** Answers every request in progress with its currently known outcome. */
     public void abortRequests() {
-        forEachConnection(CallerConnection::abortRequest);
+        forEachConnection(CallerConnection::abortRequests);
     }
 
     /**
@@ -172,6 +175,10 @@
         mConnections.close().awaitUninterruptibly();
     }
 
+    RequestPreparer preparer() {
+        return mPreparer;
+    }
+
     boolean isDraining() {
         return mDraining;
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EndpointChooser.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RouteDefinition;
+import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.membership.FleetSnapshot;
 import org.arbutuslock.internal.selection.LoadReport;
 
@@ -58,6 +59,16 @@
         /** No session to the home node could be opened, or the session was lost. */
         PATH_FAILED,
         /** The backend server failed, or the attempt was cancelled. */
-        SERVER_FAILED
+        SERVER_FAILED;
+
+        /**
+         * Returns the result of an attempt that its home node refused.
+         *
+         * @param reason reason of the refusal
+         * @return suspect or refused
+         */
+        static AttemptResult ofRefusal(RefusalReason reason) {
+            return reason == RefusalReason.SUSPECT ? SUSPECT : REFUSED;
+        }
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/HeadTimeout.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/HeadTimeout.java
@@ -1,31 +1,19 @@
 package org.arbutuslock.daemon.internal.callers;
 
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.time.Duration;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import org.arbutuslock.internal.logging.Event;
-import org.arbutuslock.internal.logging.EventLogger;
 
 /**
- * Answers a request with 408 and closes the connection when its head takes too long, so that slow
- * callers do not occupy connections. Precedes the HTTP codec in the pipeline; the handler that
- * {@link #observer} returns follows it. A head that arrives in one read starts no timer.
+ * Fires {@link Expired} when the head of a request takes too long, so that slow callers do not
+ * occupy connections. Precedes the HTTP codec in the pipeline; the handler that {@link #observer}
+ * returns follows it. A head that arrives in one read starts no timer.
  */
 final class HeadTimeout extends ChannelInboundHandlerAdapter {
-    private static final EventLogger LOGGER = EventLogger.forComponent("callers");
-
     private final Duration mLimit;
     private boolean mReadingBody;
     private boolean mMessageDecoded;
@@ -56,16 +44,7 @@
     }
 
     private void expire(ChannelHandlerContext context) {
-        LOGGER.log(
-                Event.CALLER_REQUEST_MALFORMED,
-                context.channel().remoteAddress(),
-                "no complete request head within " + mLimit.toMillis() + " ms");
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_TIMEOUT);
-        HttpUtil.setContentLength(response, 0);
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.channel().writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.fireUserEventTriggered(new Expired(mLimit));
     }
 
     private void cancelTimer() {
@@ -81,6 +60,13 @@
         context.fireChannelInactive();
     }
 
+    /**
+     * The head of a request was not complete in time. The connection cannot be used any more.
+     *
+     * @param limit maximum time from the first byte of the request to the end of its head
+     */
+    record Expired(Duration limit) {}
+
     private final class Observer extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RoutedRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RoutedRequest.java
@@ -20,6 +20,8 @@
  * @param body complete body
  * @param tenant name of the tenant, or an empty string
  * @param tenantWeight weight of the tenant
+ * @param arrivalNanos when the request was read completely, on the clock of the entry node, in
+ *     nanoseconds
  * @param timeoutMillis time from the arrival of the request to its deadline, in milliseconds
  */
 record RoutedRequest(
@@ -32,6 +34,7 @@
         byte[] body,
         String tenant,
         int tenantWeight,
+        long arrivalNanos,
         long timeoutMillis) {
     /** Creates the message that submits one attempt to the home node of {@code member}. */
     ExecutionRequest toExecutionRequest(
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/TextResponses.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/TextResponses.java
@@ -11,10 +11,13 @@
     static final int OK = 200;
     static final int BAD_REQUEST = 400;
     static final int NOT_FOUND = 404;
+    static final int REQUEST_TIMEOUT = 408;
+    static final int BODY_TOO_LARGE = 413;
     static final int URI_TOO_LONG = 414;
     static final int HEADER_TOO_LARGE = 431;
     static final int SERVICE_UNAVAILABLE = 503;
     static final int GATEWAY_TIMEOUT = 504;
+    static final int HTTP_VERSION_NOT_SUPPORTED = 505;
 
     private TextResponses() {}
 
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerConnectionTest.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.ManualClock;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -30,6 +31,7 @@
  * caller reads slowly.
  */
 public class CallerConnectionTest {
+    private final EntryServices mServices = EntryServicesFixture.create(new ManualClock());
     private EventLoopGroup mLoops;
     private CallerServer mServer;
 
@@ -41,7 +43,7 @@
                         mLoops,
                         new InetSocketAddress("127.0.0.1", 0),
                         new CallerLimits(8_192, Duration.ofSeconds(60), 10),
-                        null);
+                        mServices);
     }
 
     @AfterMethod
@@ -53,7 +55,7 @@
     @Test
     public void should_count_a_request_until_its_response_is_written() {
         PendingLastWrite pending = new PendingLastWrite();
-        EmbeddedChannel channel = new EmbeddedChannel(pending, new CallerConnection(mServer, null));
+        EmbeddedChannel channel = new EmbeddedChannel(pending, newConnection());
         channel.writeInbound(
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1, HttpMethod.GET, "/.arbutuslock/requests/x"));
@@ -67,7 +69,7 @@
     @Test
     public void should_answer_a_request_that_was_read_before_its_connection_closes() {
         PendingWrites pending = new PendingWrites();
-        CallerConnection connection = new CallerConnection(mServer, null);
+        CallerConnection connection = newConnection();
         EmbeddedChannel busy = new EmbeddedChannel(pending, connection);
         busy.writeInbound(
                 new DefaultFullHttpRequest(
@@ -77,7 +79,7 @@
         pending.mWrites.forEach(ChannelPromise::setSuccess);
         busy.runPendingTasks();
         assertFalse(busy.isActive());
-        CallerConnection idleConnection = new CallerConnection(mServer, null);
+        CallerConnection idleConnection = newConnection();
         EmbeddedChannel idle = new EmbeddedChannel(idleConnection);
         idleConnection.closeWhenIdle();
         assertFalse(idle.isActive());
@@ -85,7 +87,7 @@
 
     @Test
     public void should_refuse_a_request_that_arrives_after_the_notice_period_of_a_shutdown() {
-        EmbeddedChannel channel = new EmbeddedChannel(new CallerConnection(mServer, null));
+        EmbeddedChannel channel = new EmbeddedChannel(newConnection());
         mServer.startDraining();
         mServer.refuseRequests();
         DefaultFullHttpRequest late =
@@ -100,6 +102,10 @@
         assertFalse(channel.isActive());
     }
 
+    private CallerConnection newConnection() {
+        return new CallerConnection(mServer, mServices, 1 << 20);
+    }
+
     /** Collects the promises of all writes, as with a caller that reads late. */
     private static final class PendingWrites extends ChannelOutboundHandlerAdapter {
         private final List<ChannelPromise> mWrites = new ArrayList<>();
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerHttpTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerHttpTest.java
@@ -1,34 +1,27 @@
 package org.arbutuslock.daemon.internal.callers;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNull;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.arbutuslock.api.EndpointId;
+import java.util.regex.Pattern;
 import org.arbutuslock.api.ManualClock;
-import org.arbutuslock.api.RouteDefinition;
-import org.arbutuslock.api.WorkClass;
-import org.arbutuslock.daemon.internal.dialect.OwnDialect;
-import org.arbutuslock.daemon.internal.sessions.LocalNode;
-import org.arbutuslock.internal.configuration.Configuration;
-import org.arbutuslock.internal.configuration.ConfigurationHolder;
-import org.arbutuslock.internal.membership.FleetSnapshot;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -36,42 +29,33 @@
 /** Guards against serving requests that RFC 9112 forbids, and refusing requests that it allows. */
 public class CallerHttpTest {
     private static final int MAXIMUM_HEADER_BYTES = 1_024;
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.1 (\\d+)");
 
+    private final ManualClock mClock = new ManualClock();
     private EventLoopGroup mLoops;
     private CallerServer mServer;
+    private final StringBuilder mWritten = new StringBuilder();
     private EmbeddedChannel mChannel;
 
     @BeforeMethod
     public void setUp() {
+        mWritten.setLength(0);
         mLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        ManualClock clock = new ManualClock();
-        ConfigurationHolder configuration = new ConfigurationHolder();
-        configuration.apply(Configuration.of(3, List.of(), List.of(route())));
-        LocalNode local = new LocalNode("node", 1, "region", "zone", "127.0.0.1:1");
-        EntryServices services =
-                new EntryServices(
-                        local,
-                        clock,
-                        clock.nanoTime(),
-                        configuration,
-                        new NoEndpoints(),
-                        () -> FleetSnapshot.EMPTY,
-                        null,
-                        new NoRetries(),
-                        (route, tenant, latency, result) -> {},
-                        new OwnDialect());
+        EntryServices services = EntryServicesFixture.create(mClock);
         mServer =
                 new CallerServer(
                         mLoops,
                         new InetSocketAddress("127.0.0.1", 0),
                         new CallerLimits(MAXIMUM_HEADER_BYTES, Duration.ofSeconds(60), 10),
                         services);
+        CallerConnection connection = new CallerConnection(mServer, services, 1 << 20);
         mChannel =
                 new EmbeddedChannel(
+                        new WriteRecorder(),
                         new HttpServerCodec(
                                 new HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES)),
-                        new HttpObjectAggregator(1 << 20),
-                        new CallerConnection(mServer, services));
+                        new RequestAggregator(1 << 20, connection::hasRequests),
+                        connection);
     }
 
     @AfterMethod
@@ -111,6 +95,58 @@
                 send("GET /y/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"), "HTTP/1.1 404 Not Found");
     }
 
+    @Test
+    public void should_answer_malformed_requests_behind_good_ones_in_their_turn() {
+        // The first request waits for endpoints, because the node has just started.
+        assertNull(send("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"));
+        assertNull(send("GET /x/2 HTTP/1.1\r\nbad header\r\n\r\n"));
+        assertNull(send("GET /x/3 HTTP/1.1\r\nHost: a.example\r\n\r\n"));
+        mClock.advance(Duration.ofSeconds(3));
+        mChannel.advanceTimeBy(3, TimeUnit.SECONDS);
+        assertEquals(readAll(), List.of(503, 400));
+        assertFalse(mChannel.isActive());
+    }
+
+    @Test
+    public void should_answer_413_behind_a_good_request_in_its_turn() {
+        assertNull(send("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"));
+        String head = "POST /x/2 HTTP/1.1\r\nHost: a.example\r\n";
+        assertNull(send(head + "Content-Length: 2000000\r\n\r\n"));
+        mClock.advance(Duration.ofSeconds(3));
+        mChannel.advanceTimeBy(3, TimeUnit.SECONDS);
+        assertEquals(readAll(), List.of(503, 413));
+    }
+
+    @Test
+    public void should_not_send_an_interim_response_before_an_earlier_response() {
+        assertNull(send("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"));
+        String head = "POST /x/2 HTTP/1.1\r\nHost: a.example\r\nExpect: 100-continue\r\n";
+        assertNull(send(head + "Content-Length: 2\r\n\r\n"));
+    }
+
+    @Test
+    public void should_count_the_deadline_from_the_arrival_of_a_request() {
+        assertNull(send("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"));
+        mChannel.advanceTimeBy(1_019, TimeUnit.MILLISECONDS);
+        mClock.advance(Duration.ofMillis(1_019));
+        mChannel.runScheduledPendingTasks();
+        assertNull(send("GET /x/2 HTTP/1.1\r\nHost: a.example\r\n\r\n"));
+        mChannel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+        mChannel.runScheduledPendingTasks();
+        assertEquals(readAll(), List.of(503));
+    }
+
+    /** Reads the status codes of all responses that were written. */
+    private List<Integer> readAll() {
+        mChannel.runScheduledPendingTasks();
+        mChannel.runPendingTasks();
+        return STATUS_LINE
+                .matcher(mWritten)
+                .results()
+                .map(result -> Integer.parseInt(result.group(1)))
+                .toList();
+    }
+
     /** Sends a request; returns the status line of the response, or null if there is none yet. */
     private String send(String request) {
         mChannel.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.ISO_8859_1));
@@ -123,36 +159,12 @@
         return text.substring(0, text.indexOf("\r\n"));
     }
 
-    private static RouteDefinition route() {
-        return new RouteDefinition(
-                "route",
-                "a.example",
-                "",
-                "/x",
-                true,
-                Map.of(),
-                "service",
-                WorkClass.SHORT,
-                true,
-                1_000,
-                5);
-    }
-
-    private static final class NoEndpoints extends StatelessEndpointChooser {
-        @Override
-        public Optional<FleetSnapshot.Member> choose(
-                RouteDefinition route, boolean idempotent, Set<EndpointId> tried) {
-            return Optional.empty();
-        }
-    }
-
-    private static final class NoRetries implements RetryPolicy {
-        @Override
-        public void recordFirstAttempt(String service) {}
-
+    /** Copies all bytes that are written to the connection. */
+    private final class WriteRecorder extends ChannelOutboundHandlerAdapter {
         @Override
-        public boolean tryRetry(String service) {
-            return false;
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            mWritten.append(((ByteBuf) message).toString(StandardCharsets.ISO_8859_1));
+            context.write(message, promise);
         }
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
@@ -100,7 +100,7 @@
         mChannel.runPendingTasks();
     }
 
-    private static RoutedRequest routedRequest() {
+    private RoutedRequest routedRequest() {
         RouteDefinition route =
                 new RouteDefinition(
                         "orders",
@@ -125,6 +125,7 @@
                 new byte[0],
                 "",
                 1,
+                mClock.nanoTime(),
                 route.deadlineMillis());
     }
 
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/HeadTimeoutTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/HeadTimeoutTest.java
@@ -6,13 +6,20 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.arbutuslock.api.CallerBounds;
+import org.arbutuslock.api.ManualClock;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
@@ -23,8 +30,29 @@
     private static final String HEAD = "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
     private final HeadTimeout mTimeout = new HeadTimeout(Duration.ofSeconds(3));
-    private final EmbeddedChannel mChannel =
-            new EmbeddedChannel(mTimeout, new HttpServerCodec(), mTimeout.observer());
+    private EventLoopGroup mLoops;
+    private CallerServer mServer;
+    private EmbeddedChannel mChannel;
+
+    @BeforeMethod
+    public void setUp() {
+        mLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EntryServices services = EntryServicesFixture.create(new ManualClock());
+        CallerLimits limits = new CallerLimits(8_192, Duration.ofSeconds(60), 10);
+        mServer = new CallerServer(mLoops, new InetSocketAddress("127.0.0.1", 0), limits, services);
+        mChannel =
+                new EmbeddedChannel(
+                        mTimeout,
+                        new HttpServerCodec(),
+                        mTimeout.observer(),
+                        new CallerConnection(mServer, services, 1 << 20));
+    }
+
+    @AfterMethod
+    public void tearDown() {
+        mServer.close();
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
 
     @Test
     public void should_answer_408_when_a_head_takes_too_long() {
--- /dev/null
+++ b/testbed/src/test/java/org/arbutuslock/testbed/fleet/PipeliningTest.java
@@ -0,0 +1,141 @@
+package org.arbutuslock.testbed.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.arbutuslock.api.Floor;
+import org.arbutuslock.api.RouteDefinition;
+import org.arbutuslock.api.ServiceDefinition;
+import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.daemon.internal.home.HomeService;
+import org.arbutuslock.internal.configuration.ConfigurationOperation;
+import org.arbutuslock.testbed.backend.EchoBody;
+import org.arbutuslock.testbed.backend.ExecutionRecord;
+import org.arbutuslock.testbed.backend.WorkTimes;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against requests that wait behind a slow one on the same connection although they may be
+ * repeated, and against responses in another order than the requests.
+ */
+public class PipeliningTest {
+    private static final long SEED = 11;
+    // More than the socket buffers hold, so that the response stops while the caller does not read.
+    private static final int LONG_BODY_BYTES = 32_000_000;
+
+    private InProcessFleet mFleet;
+
+    @BeforeMethod
+    public void startFleet() throws Exception {
+        mFleet = InProcessFleet.start(SEED);
+        mFleet.addNode("calgary-a-1", "west-prairie", "calgary-a");
+        mFleet.addNode("calgary-a-2", "west-prairie", "calgary-a");
+        WorkTimes times = WorkTimes.of(2, LONG_BODY_BYTES, 200_000_000);
+        mFleet.addBackend("calgary-a-2", "order-hub-1", "order-hub", 5, times);
+        mFleet.change(
+                List.of(
+                        new ConfigurationOperation.PutService(
+                                new ServiceDefinition("order-hub", new Floor.Count(1), 1, 5, 20)),
+                        new ConfigurationOperation.PutRoute(route("orders", "/orders", false)),
+                        new ConfigurationOperation.PutRoute(route("prices", "/price", true)),
+                        new ConfigurationOperation.PutRoute(route("bundles", "/long", true))));
+        mFleet.awaitReady();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopFleet() {
+        mFleet.close();
+    }
+
+    @Test
+    public void should_execute_followers_while_the_first_response_is_unread() throws Exception {
+        ExecutionRecord executions = mFleet.backends().get("order-hub-1").executions();
+        try (Socket socket = connect()) {
+            send(socket, "GET /long/bundle", "GET /price?1", "GET /price?2", "GET /price?3");
+            InProcessFleet.await("four executions", () -> executions.total() == 4);
+            send(socket, "POST /orders", "GET /price?4");
+            EmbeddedChannel decoder =
+                    new EmbeddedChannel(
+                            new HttpResponseDecoder(), new HttpObjectAggregator(1 << 26));
+            assertEquals(read(socket, decoder, "GET", "/long/bundle"), LONG_BODY_BYTES);
+            read(socket, decoder, "GET", "/price?1");
+            read(socket, decoder, "GET", "/price?2");
+            read(socket, decoder, "GET", "/price?3");
+            read(socket, decoder, "POST", "/orders");
+            read(socket, decoder, "GET", "/price?4");
+            assertEquals(executions.total(), 6);
+        }
+    }
+
+    @Test
+    public void should_cancel_followers_when_the_caller_leaves() throws Exception {
+        ExecutionRecord executions = mFleet.backends().get("order-hub-1").executions();
+        try (Socket socket = connect()) {
+            send(socket, "GET /long/bundle", "GET /long/bundle", "POST /orders");
+            InProcessFleet.await("two executions", () -> executions.total() == 2);
+        }
+        HomeService home = mFleet.node("calgary-a-2").component(HomeService.class);
+        InProcessFleet.await("no execution in progress", () -> home.activeRequests() == 0);
+        assertEquals(executions.total(), 2, "the order behind them must not run");
+    }
+
+    private Socket connect() throws IOException {
+        InetSocketAddress address = mFleet.settings("calgary-a-1").callers().address();
+        return new Socket(address.getAddress(), address.getPort());
+    }
+
+    private static void send(Socket socket, String... requestLines) throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (String line : requestLines) {
+            text.append(line).append(" HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n");
+        }
+        socket.getOutputStream().write(text.toString().getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Reads the next response and checks that it belongs to a request; returns its length. */
+    private static int read(Socket socket, EmbeddedChannel decoder, String method, String uri)
+            throws IOException {
+        FullHttpResponse response = decoder.readInbound();
+        byte[] buffer = new byte[1 << 16];
+        while (response == null) {
+            int length = socket.getInputStream().read(buffer);
+            assertTrue(length > 0, "the connection ended before " + method + " " + uri);
+            decoder.writeInbound(Unpooled.copiedBuffer(buffer, 0, length));
+            response = decoder.readInbound();
+        }
+        byte[] body = new byte[response.content().readableBytes()];
+        response.content().readBytes(body);
+        response.release();
+        assertEquals(response.status().code(), 200, method + " " + uri);
+        assertTrue(EchoBody.matches(body, method, uri, new byte[0]), method + " " + uri);
+        return body.length;
+    }
+
+    private static RouteDefinition route(String name, String path, boolean idempotent) {
+        return new RouteDefinition(
+                name,
+                "",
+                "",
+                path,
+                true,
+                Map.of(),
+                "order-hub",
+                idempotent ? WorkClass.LONG : WorkClass.SHORT,
+                idempotent,
+                20_000,
+                5);
+    }
+}
