--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/metrics/NodeMetrics.java
@@ -3,12 +3,15 @@
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 import org.arbutuslock.api.Clock;
+import org.arbutuslock.daemon.internal.sessions.SentBytes;
 import org.arbutuslock.daemon.internal.sessions.SessionCounts;
 import org.arbutuslock.daemon.internal.store.MonitoredStore;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
+import org.arbutuslock.internal.selection.ZoneDistance;
 
 /** Metrics of the store, the sessions and the configuration of this node. */
 final class NodeMetrics {
@@ -42,6 +45,23 @@
                 "sessions given up because a heartbeat got no reply",
                 sessions,
                 SessionCounts::silent);
+        registerSentBytes(registry, sessions.sentBytes());
+    }
+
+    private static void registerSentBytes(MeterRegistry registry, SentBytes sent) {
+        for (SentBytes.Purpose purpose : SentBytes.Purpose.values()) {
+            for (ZoneDistance distance : ZoneDistance.values()) {
+                FunctionCounter.builder(
+                                "arbutuslock.sessions.sent",
+                                sent,
+                                source -> source.sum(purpose, distance))
+                        .description("bytes sent to other nodes")
+                        .baseUnit("bytes")
+                        .tag("purpose", purpose.name().toLowerCase(Locale.ROOT))
+                        .tag("distance", distance.name().toLowerCase(Locale.ROOT))
+                        .register(registry);
+            }
+        }
     }
 
     /** Records the time of a change of the revision in force. Not thread-safe. */
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -142,6 +142,7 @@
             close("protocol version " + reply.version() + ", allowed " + PROTOCOL_VERSION);
             return;
         }
+        setPeerLocation(mLocalNode, reply.region(), reply.availabilityZone());
         mRemote = reply;
         LOGGER.log(Event.SESSION_OPENED, reply.node(), reply.incarnation(), reply.session());
         mReady.complete(this);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/LocalNode.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/LocalNode.java
@@ -1,5 +1,7 @@
 package org.arbutuslock.daemon.internal.sessions;
 
+import org.arbutuslock.internal.selection.ZoneDistance;
+
 /**
  * Identity of this node.
  *
@@ -10,8 +12,20 @@
  * @param peerAddress IP address and port at which other nodes reach this node
  */
 public record LocalNode(
-        String name,
-        long incarnation,
-        String region,
-        String availabilityZone,
-        String peerAddress) {}
+        String name, long incarnation, String region, String availabilityZone, String peerAddress) {
+    /**
+     * Returns how far away another host is.
+     *
+     * @param otherRegion region of the other host
+     * @param otherZone availability zone of the other host
+     * @return distance from this node
+     */
+    public ZoneDistance distanceTo(String otherRegion, String otherZone) {
+        if (!otherRegion.equals(region)) {
+            return ZoneDistance.OTHER_REGION;
+        }
+        return otherZone.equals(availabilityZone)
+                ? ZoneDistance.SAME_ZONE
+                : ZoneDistance.SAME_REGION;
+    }
+}
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
@@ -15,6 +15,7 @@
 import org.arbutuslock.internal.logging.EventLogger;
 import org.arbutuslock.internal.messages.PeerMessage;
 import org.arbutuslock.internal.messages.PeerMessageCodec;
+import org.arbutuslock.internal.selection.ZoneDistance;
 
 /**
  * Base class of both ends of a session: framing, heartbeats, errors and interleaved sending.
@@ -38,6 +39,8 @@
     private long mHeartbeatNumber;
     private long mLastUsedNanos;
     private boolean mScheduledAsBusy;
+    // The farthest distance until the handshake tells where the other node is.
+    private ZoneDistance mDistance = ZoneDistance.OTHER_REGION;
     private String mCloseReason = "closed by the other node";
 
     PeerChannel(Clock clock, SessionCounts counts) {
@@ -56,10 +59,19 @@
                         0,
                         Integer.BYTES));
         pipeline.addLast(new PeerMessageDecoder());
-        pipeline.addLast(new PeerMessageEncoder());
+        pipeline.addLast(new PeerMessageEncoder(this::countSent));
         pipeline.addLast(this);
     }
 
+    private void countSent(PeerMessage message, int bytes) {
+        mCounts.sentBytes().add(message, mDistance, bytes);
+    }
+
+    /** Records where the other node is, as the handshake tells. Called on the event loop. */
+    final void setPeerLocation(LocalNode localNode, String region, String availabilityZone) {
+        mDistance = localNode.distanceTo(region, availabilityZone);
+    }
+
     /** Handles one message other than heartbeats and their replies, on the event loop. */
     abstract void handle(PeerMessage message);
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -78,6 +78,7 @@
             return;
         }
         mPeerName = hello.node();
+        setPeerLocation(mLocalNode, hello.region(), hello.availabilityZone());
         mSession = mHomeNode.openSession(() -> close("the session is fenced"));
         PeerMessage reply =
                 new PeerMessage.HelloReply(
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/SessionCounts.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/SessionCounts.java
@@ -6,6 +6,7 @@
 public final class SessionCounts {
     private final LongAdder mOpen = new LongAdder();
     private final LongAdder mSilent = new LongAdder();
+    private final SentBytes mSentBytes = new SentBytes();
 
     /** Creates counters that are 0. */
     public SessionCounts() {}
@@ -28,6 +29,15 @@
         return mSilent.sum();
     }
 
+    /**
+     * Returns the bytes that were sent to other nodes.
+     *
+     * @return counters by purpose and distance
+     */
+    public SentBytes sentBytes() {
+        return mSentBytes;
+    }
+
     void addOpen() {
         mOpen.increment();
     }
