Keep requests in their zone until waiting there costs more than the way

Ruled out: the region penalty alone; it does not see zones.

Which requests still leave their zone is not known yet.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.Plugin;
 import org.arbutuslock.api.PluginContext;
@@ -25,6 +24,7 @@
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.dialect.RequestDialect;
+import org.arbutuslock.internal.selection.DistancePenalties;
 import org.arbutuslock.internal.selection.RegionLinkBudget;
 import org.arbutuslock.internal.settings.NodeSettings;
 
@@ -73,7 +73,9 @@
                         fleet::current,
                         configuration,
                         new RegionLinkBudget(clock, LINK_BYTES_PER_SECOND, LINK_BURST),
-                        TimeUnit.MILLISECONDS.toNanos(settings.callers().regionPenaltyMillis()),
+                        DistancePenalties.ofMillis(
+                                settings.callers().zonePenaltyMillis(),
+                                settings.callers().regionPenaltyMillis()),
                         ThreadLocalRandom.current().nextLong());
         EntryServices services =
                 new EntryServices(
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
@@ -21,6 +21,7 @@
 import org.arbutuslock.internal.selection.Candidate;
 import org.arbutuslock.internal.selection.CandidateSet;
 import org.arbutuslock.internal.selection.CandidateState;
+import org.arbutuslock.internal.selection.DistancePenalties;
 import org.arbutuslock.internal.selection.EndpointSelector;
 import org.arbutuslock.internal.selection.LoadReport;
 import org.arbutuslock.internal.selection.PathStatistics;
@@ -56,8 +57,7 @@
      * @param fleet supplies the nodes that this node knows
      * @param configuration configuration in force
      * @param linkBudget bytes that this node may transfer between regions
-     * @param regionPenaltyNanos latency, in nanoseconds, equivalent to the cost of a request to
-     *     another region
+     * @param penalties latencies that are equivalent to the cost of distance
      * @param seed seed of the random choices
      */
     public FleetEndpointChooser(
@@ -66,7 +66,7 @@
             Supplier<FleetSnapshot> fleet,
             ConfigurationHolder configuration,
             RegionLinkBudget linkBudget,
-            long regionPenaltyNanos,
+            DistancePenalties penalties,
             long seed) {
         mLocalNode = localNode;
         mClock = clock;
@@ -80,10 +80,7 @@
                 ThreadLocal.withInitial(
                         () ->
                                 new EndpointSelector(
-                                        clock,
-                                        mRandom.get().split(),
-                                        linkBudget,
-                                        regionPenaltyNanos));
+                                        clock, mRandom.get().split(), linkBudget, penalties));
     }
 
     @Override
@@ -157,12 +154,7 @@
     }
 
     private ZoneDistance distance(NodeRecord node) {
-        if (!node.region().equals(mLocalNode.region())) {
-            return ZoneDistance.OTHER_REGION;
-        }
-        return node.availabilityZone().equals(mLocalNode.availabilityZone())
-                ? ZoneDistance.SAME_ZONE
-                : ZoneDistance.SAME_REGION;
+        return mLocalNode.distanceTo(node.region(), node.availabilityZone());
     }
 
     private static long expectedBytes(RouteDefinition route) {
--- a/kernel/src/main/java/org/arbutuslock/internal/selection/EndpointSelector.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/selection/EndpointSelector.java
@@ -32,23 +32,22 @@
     private final Clock mClock;
     private final RandomGenerator mRandom;
     private final RegionLinkBudget mLinkBudget;
-    private final long mRegionPenaltyNanos;
+    private final DistancePenalties mPenalties;
 
     /**
      * Creates a selector.
      *
      * @param clock clock for the age of path statistics
      * @param random seeded source of the random choices
-     * @param regionPenaltyNanos latency, in nanoseconds, equivalent to the cost of a request to
-     *     another region
      * @param linkBudget limit of the bytes exchanged with other regions
+     * @param penalties latencies that are equivalent to the cost of distance
      */
     public EndpointSelector(
             Clock clock,
             RandomGenerator random,
             RegionLinkBudget linkBudget,
-            long regionPenaltyNanos) {
-        mRegionPenaltyNanos = regionPenaltyNanos;
+            DistancePenalties penalties) {
+        mPenalties = penalties;
         mClock = clock;
         mRandom = random;
         mLinkBudget = linkBudget;
@@ -98,7 +97,7 @@
     private boolean shouldConsiderOtherRegions(Candidate local, WorkClass workClass, long now) {
         return workClass == WorkClass.SHORT
                 && local.path().expectedNanos(workClass, now)
-                        > ZoneDistance.OTHER_REGION.roundTripNanos() + mRegionPenaltyNanos;
+                        > ZoneDistance.OTHER_REGION.roundTripNanos() + mPenalties.regionNanos();
     }
 
     private Candidate chooseInRegion(
@@ -133,12 +132,9 @@
     }
 
     private long expectedResponseNanos(Candidate candidate, WorkClass workClass, long now) {
-        long expected =
-                candidate.path().expectedNanos(workClass, now)
-                        + candidate.distance().roundTripNanos();
-        return candidate.distance() == ZoneDistance.OTHER_REGION
-                ? expected + mRegionPenaltyNanos
-                : expected;
+        return candidate.path().expectedNanos(workClass, now)
+                + candidate.distance().roundTripNanos()
+                + mPenalties.nanosFor(candidate.distance());
     }
 
     private Candidate chooseAt(
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/NodeSettings.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/NodeSettings.java
@@ -97,6 +97,9 @@
      * @param address address to listen on
      * @param maximumHeaderBytes largest size of a request line with its headers
      * @param idleTimeoutMillis time after which an idle connection is closed
+     * @param zonePenaltyMillis latency that is added to an endpoint in another availability zone of
+     *     the region for comparison, because traffic between zones costs money; 0 compares latency
+     *     alone
      * @param regionPenaltyMillis latency that is added to an endpoint in another region for
      *     comparison, because traffic between regions costs money; 0 compares latency alone
      */
@@ -104,6 +107,7 @@
             InetSocketAddress address,
             int maximumHeaderBytes,
             int idleTimeoutMillis,
+            int zonePenaltyMillis,
             int regionPenaltyMillis) {}
 
     /**
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsField.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsField.java
@@ -21,7 +21,9 @@
             "ms",
             new FieldRule.IntegerRange(1_000, 3_600_000),
             "60000"),
-    // With 0, regions are compared by latency alone.
+    // With 0, availability zones and regions are compared by latency alone.
+    CALLERS_ZONE_PENALTY_MILLIS(
+            "callers.zonePenaltyMillis", "ms", new FieldRule.IntegerRange(0, 60_000), "0"),
     CALLERS_REGION_PENALTY_MILLIS(
             "callers.regionPenaltyMillis", "ms", new FieldRule.IntegerRange(0, 60_000), "0"),
     PEERS_ADDRESS("peers.address", "", new FieldRule.Address(), Defaults.REQUIRED),
--- a/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsLoader.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/settings/SettingsLoader.java
@@ -114,6 +114,7 @@
                         reader.readAddress(SettingsField.CALLERS_ADDRESS),
                         (int) reader.readInteger(SettingsField.CALLERS_MAXIMUM_HEADER_BYTES),
                         (int) reader.readInteger(SettingsField.CALLERS_IDLE_TIMEOUT_MILLIS),
+                        (int) reader.readInteger(SettingsField.CALLERS_ZONE_PENALTY_MILLIS),
                         (int) reader.readInteger(SettingsField.CALLERS_REGION_PENALTY_MILLIS)),
                 buildPeers(reader),
                 new NodeSettings.Announcements(
--- a/kernel/src/test/java/org/arbutuslock/internal/selection/EndpointSelectorTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/selection/EndpointSelectorTest.java
@@ -28,14 +28,18 @@
     private List<Candidate> mCandidates;
 
     @BeforeMethod
-    public void createSelector() {
+    public void createFixtures() {
         System.out.println("EndpointSelectorTest seed " + SEED);
         mClock = new ManualClock();
-        RegionLinkBudget budget = new RegionLinkBudget(mClock, 1000, Duration.ofSeconds(1));
-        mSelector = new EndpointSelector(mClock, new SplittableRandom(SEED), budget, 0);
+        mSelector = createSelector(DistancePenalties.NONE);
         mCandidates = new ArrayList<>();
     }
 
+    private EndpointSelector createSelector(DistancePenalties penalties) {
+        RegionLinkBudget budget = new RegionLinkBudget(mClock, 1000, Duration.ofSeconds(1));
+        return new EndpointSelector(mClock, new SplittableRandom(SEED), budget, penalties);
+    }
+
     private Candidate add(ZoneDistance distance, int weight, LoadReport report) {
         PathStatistics path = new PathStatistics(mClock);
         path.recordSubmit();
@@ -53,6 +57,33 @@
         return candidate;
     }
 
+    /** Guards against requests that leave their zone although waiting there costs less. */
+    @Test
+    public void should_stay_in_the_zone_until_waiting_costs_more_than_the_penalty() {
+        mSelector = createSelector(DistancePenalties.ofMillis(300, 800));
+        Candidate near = add(ZoneDistance.SAME_ZONE, 100, waiting(250));
+        Candidate regional = add(ZoneDistance.SAME_REGION, 100, IDLE);
+        add(ZoneDistance.OTHER_REGION, 100, IDLE);
+        assertEquals(countChosen(near, 1), 1000);
+        near.path().recordSubmit();
+        near.path().recordResponse(WorkClass.SHORT, 20 * MILLI, waiting(350));
+        assertEquals(countChosen(regional, 1), 1000);
+    }
+
+    /** Guards against work that waits in a region although another one has room. */
+    @Test
+    public void should_leave_the_region_when_waiting_costs_more_than_the_penalty() {
+        mSelector = createSelector(DistancePenalties.ofMillis(300, 800));
+        add(ZoneDistance.SAME_ZONE, 100, waiting(1_500));
+        add(ZoneDistance.SAME_REGION, 100, waiting(1_500));
+        Candidate remote = add(ZoneDistance.OTHER_REGION, 100, IDLE);
+        assertEquals(select(WorkClass.SHORT, 1), new SelectionResult.Chosen(remote));
+    }
+
+    private static LoadReport waiting(long millis) {
+        return new LoadReport(1, 5, millis * MILLI, millis * MILLI);
+    }
+
     /** Guards against an endpoint that is never selected because it has no latency samples. */
     @Test
     public void should_try_endpoint_without_samples() {
--- a/testbed/src/main/java/org/arbutuslock/testbed/fleet/FleetSettings.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/fleet/FleetSettings.java
@@ -46,7 +46,7 @@
                 region,
                 availabilityZone,
                 new NodeSettings.Callers(
-                        FreePorts.next(), MAXIMUM_HEADER_BYTES, IDLE_TIMEOUT_MILLIS, 0),
+                        FreePorts.next(), MAXIMUM_HEADER_BYTES, IDLE_TIMEOUT_MILLIS, 0, 0),
                 new NodeSettings.Peers(peers, peers, seeds),
                 new NodeSettings.Announcements(FreePorts.next(), ANNOUNCEMENT_LEASE_SECONDS),
                 new NodeSettings.Operators(FreePorts.next()),
