Do not take the time of a failure response for speed

Cause: an endpoint in a spell of errors answers orders with 500 within 1 ms.

Change: AttemptResult.FAILURE_RESPONSE; path statistics take the load report of such a response, not its time.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -506,7 +506,7 @@
         }
 
         private void complete() {
-            end(AttemptResult.COMPLETE);
+            end(AttemptResult.ofResponse(mBuffer));
             acknowledge();
             finish(RequestResult.ANSWERED);
         }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/EndpointChooser.java
@@ -52,6 +52,8 @@
     enum AttemptResult {
         /** The response was received completely. */
         COMPLETE,
+        /** The complete response reports a failure of the backend server, at whatever speed. */
+        FAILURE_RESPONSE,
         /** The home node refused the request. */
         REFUSED,
         /** The home node refused the request because the backend server is suspect. */
@@ -61,6 +63,16 @@
         /** The backend server failed, or the attempt was cancelled. */
         SERVER_FAILED;
 
+        /**
+         * Returns the result of an attempt whose response was received completely.
+         *
+         * @param response head and body of the response
+         * @return complete, or a failure of the backend server
+         */
+        static AttemptResult ofResponse(ResponseBuffer response) {
+            return response.isServerFailure() ? FAILURE_RESPONSE : COMPLETE;
+        }
+
         /**
          * Returns the result of an attempt that its home node refused.
          *
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
@@ -123,7 +123,7 @@
         PathStatistics path = path(member.endpoint().id());
         switch (result) {
             case COMPLETE -> path.recordResponse(route.workClass(), latency.toNanos(), load);
-            case REFUSED -> path.recordRefusal(load);
+            case FAILURE_RESPONSE, REFUSED -> path.recordRefusal(load);
             case SUSPECT -> {
                 path.recordSuspectRefusal();
                 path.recordRefusal(load);
