--- a/kernel/src/main/java/org/arbutuslock/internal/progress/ProgressMonitor.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/progress/ProgressMonitor.java
@@ -25,13 +25,9 @@
     // Single failures are normal; two without a success in between are evidence of a fault.
     private static final int FAILURE_THRESHOLD = 2;
     private static final long FAILURE_WINDOW_NANOS = Duration.ofMillis(1_500).toNanos();
-    // A server with a fault of some seconds still completes some requests, so that one success
-    // after a failure proves little.
-    private static final int SUCCESSES_TO_PROVE = 2;
     // A request that has run for this share of its overdue time is slower than most.
     private static final double SLOW_SHARE = 0.6;
-    // Longer than a typical fault of some seconds and a few trial requests. After this time a
-    // server without traffic
+    // Longer than a typical hang and a few trial requests. After this time a server without traffic
     // counts as proven again.
     private static final long UNPROVEN_NANOS = Duration.ofMillis(6_000).toNanos();
     // Interval between trial requests to a suspect server, which show whether it has recovered.
@@ -45,7 +41,6 @@
     private long mLastSuccessDispatchNanos;
     private boolean mSucceeded;
     private int mFailures;
-    private int mSuccessesUntilProven;
     private long mFailedNanos;
     private long mLastTrialNanos;
     private boolean mTrialSent;
@@ -108,9 +103,6 @@
         switch (result) {
             case SUCCEEDED -> {
                 mFailures = 0;
-                if (mSuccessesUntilProven > 0 && request.mDispatchNanos - mFailedNanos >= 0) {
-                    mSuccessesUntilProven--;
-                }
                 if (!mSucceeded || request.mDispatchNanos - mLastSuccessDispatchNanos > 0) {
                     mSucceeded = true;
                     mLastSuccessDispatchNanos = request.mDispatchNanos;
@@ -119,7 +111,6 @@
             case FAILED -> {
                 mFailures++;
                 mFailedNanos = now;
-                mSuccessesUntilProven = SUCCESSES_TO_PROVE;
                 recordStall(request, now);
             }
             case CANCELLED -> recordStall(request, now);
@@ -162,16 +153,15 @@
     }
 
     /**
-     * Returns whether there is no evidence against the backend server since its last successes: no
-     * failure, no overdue request and no in-flight request that is slower than most. After a
-     * failure two requests that were dispatched later must succeed, or 6 s must pass. Requests that
-     * must not be repeated are sent to proven servers first; repeatable requests give the proof.
+     * Returns whether there is no evidence against the backend server since its last success: no
+     * failure, no overdue request and no in-flight request that is slower than most. Requests that
+     * must not be repeated are sent to proven servers first.
      *
      * @return true when the server is as likely to complete a request as any other server
      */
     public boolean isProven() {
         long now = mClock.nanoTime();
-        if (mSuccessesUntilProven > 0 && now - mFailedNanos < UNPROVEN_NANOS) {
+        if (mFailures > 0 && now - mFailedNanos < FAILURE_WINDOW_NANOS) {
             return false;
         }
         boolean stalled =
