--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerHttpTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerHttpTest.java
@@ -56,6 +56,7 @@
                                 new HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES)),
                         new RequestAggregator(1 << 20, connection::hasRequests),
                         connection);
+        mChannel.freezeTime();
     }
 
     @AfterMethod
