Close a connection that takes no more requests

Cause: found in reading. While the node shuts down, a request that arrives behind another makes the connection reject further ones. If the response in front had started before the shutdown, it carried no Connection: close, so that the connection stayed open and dropped whatever came next, until the end of the notice closed it: up to 2.5 s in which a caller gets no answer.

Change: a connection that rejects requests closes as soon as nothing is left to answer, whatever the reason; the flag of the shutdown is no longer needed for that.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -29,7 +29,6 @@
     private final HeldBytes mHeldBytes = new HeldBytes(MAXIMUM_HELD_RESPONSE_BYTES);
     private final RequestPipeline<ConnectionRequest> mPipeline;
     private ChannelHandlerContext mContext;
-    private boolean mClosing;
     private boolean mClosedByResponse;
 
     /**
@@ -59,7 +58,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
         if (mServer.isDraining() && !mPipeline.isEmpty()) {
-            // The response of the last request before this one closes the connection.
+            // The connection closes behind the requests that were read before.
             mPipeline.rejectFurther();
         }
         add(message.retain(), mServer.preparer().findFault(message));
@@ -92,13 +91,13 @@
      * called on the event loop of the connection.
      */
     void closeWhenIdle() {
-        mClosing = true;
         mPipeline.rejectFurther();
-        closeIfIdle();
+        closeIfRejecting();
     }
 
-    private void closeIfIdle() {
-        if (mClosing && !mClosedByResponse && mPipeline.isEmpty()) {
+    /** Closes a connection that takes no more requests, unless its last response does that. */
+    private void closeIfRejecting() {
+        if (mPipeline.isRejecting() && mPipeline.isEmpty() && !mClosedByResponse) {
             closeAfterWrites();
         }
     }
@@ -145,7 +144,7 @@
     /** Continues with the next request after the response of {@code request} has ended. */
     void finish(ConnectionRequest request) {
         mPipeline.finish(request);
-        closeIfIdle();
+        closeIfRejecting();
         updateReading();
     }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RequestPipeline.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RequestPipeline.java
@@ -78,8 +78,8 @@
 
     /**
      * Closes the pipeline behind a request: its response is the last one of the connection. Later
-     * requests count as not read; those that were started are cancelled. Has no further effect if
-     * the request was removed before.
+     * requests count as not read; those that were started are cancelled. The request must be in the
+     * pipeline.
      */
     void closeBehind(R request) {
         mClosed = true;
--- a/testbed/src/test/java/org/arbutuslock/testbed/fleet/PipeliningTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/fleet/PipeliningTest.java
@@ -18,6 +18,7 @@
 import org.arbutuslock.api.RouteDefinition;
 import org.arbutuslock.api.ServiceDefinition;
 import org.arbutuslock.api.WorkClass;
+import org.arbutuslock.daemon.internal.callers.CallerServer;
 import org.arbutuslock.daemon.internal.home.HomeService;
 import org.arbutuslock.internal.configuration.ConfigurationOperation;
 import org.arbutuslock.testbed.backend.EchoBody;
@@ -33,6 +34,7 @@
  */
 public class PipeliningTest {
     private static final long SEED = 11;
+    private static final int READ_TIMEOUT_MILLIS = 10_000;
     // More than the socket buffers hold, so that the response stops while the caller does not read.
     private static final int LONG_BODY_BYTES = 32_000_000;
 
@@ -92,6 +94,25 @@
         assertEquals(executions.total(), 2, "the order behind them must not run");
     }
 
+    /** Guards against a connection that stays open but drops every further request. */
+    @Test
+    public void should_close_behind_a_response_that_started_before_the_shutdown() throws Exception {
+        try (Socket socket = connect()) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            send(socket, "GET /long/bundle");
+            assertTrue(socket.getInputStream().read() > 0, "the response has started");
+            mFleet.node("calgary-a-1").component(CallerServer.class).startDraining();
+            send(socket, "POST /orders");
+            byte[] buffer = new byte[1 << 16];
+            int length = 0;
+            while (length >= 0) {
+                length = socket.getInputStream().read(buffer);
+            }
+            ExecutionRecord executions = mFleet.backends().get("order-hub-1").executions();
+            assertEquals(executions.total(), 1, "the order was not read");
+        }
+    }
+
     private Socket connect() throws IOException {
         InetSocketAddress address = mFleet.settings("calgary-a-1").callers().address();
         return new Socket(address.getAddress(), address.getPort());
