--- a/review/standins/Orders.java
+++ b/review/standins/Orders.java
@@ -26,8 +26,11 @@
          * the point where the next answer on the connection is expected.
          */
         EXTRA(4, 0.03),
-        /** They send an interim response of HTTP/1.1 before their answer. */
-        INTERIM(4, 0.02);
+        /**
+         * They spoil their answer in one of two ways: its status line lacks a digit, or an interim
+         * response comes before it.
+         */
+        SPOIL(4, 0.02);
 
         private final int endpoints;
         private final double share;
@@ -99,7 +102,12 @@
                 answer(connection, request, 503, "the step behind the order failed".getBytes());
                 return;
             }
-            if (strikes && fault == Fault.INTERIM) {
+            if (strikes && fault == Fault.SPOIL && ThreadLocalRandom.current().nextBoolean()) {
+                lab.log("fault", requestId + " at " + id + " gets a status line with 20");
+                answer(connection, request, 20, ("placed " + order).getBytes());
+                return;
+            }
+            if (strikes && fault == Fault.SPOIL) {
                 lab.log("fault", requestId + " at " + id + " gets an interim response first");
                 Http.writeHead(connection.out, "HTTP/1.1 102 Processing");
                 connection.out.flush();
