--- a/review/standins/Orders.java
+++ b/review/standins/Orders.java
@@ -27,10 +27,10 @@
          */
         EXTRA(4, 0.03),
         /**
-         * They spoil their answer in one of two ways: its status line lacks a digit, or an interim
-         * response comes before it.
+         * Their answer is sound, but for its head: it bears 300 more header fields, or an interim
+         * response of HTTP/1.1 comes before it.
          */
-        SPOIL(4, 0.02);
+        HEADS(4, 0.04);
 
         private final int endpoints;
         private final double share;
@@ -102,12 +102,12 @@
                 answer(connection, request, 503, "the step behind the order failed".getBytes());
                 return;
             }
-            if (strikes && fault == Fault.SPOIL && ThreadLocalRandom.current().nextBoolean()) {
-                lab.log("fault", requestId + " at " + id + " gets a status line with 20");
-                answer(connection, request, 20, ("placed " + order).getBytes());
+            if (strikes && fault == Fault.HEADS && ThreadLocalRandom.current().nextBoolean()) {
+                lab.log("fault", requestId + " at " + id + " gets an answer with 300 more fields");
+                answerWithManyFields(connection, request, ("placed " + order).getBytes());
                 return;
             }
-            if (strikes && fault == Fault.SPOIL) {
+            if (strikes && fault == Fault.HEADS) {
                 lab.log("fault", requestId + " at " + id + " gets an interim response first");
                 Http.writeHead(connection.out, "HTTP/1.1 102 Processing");
                 connection.out.flush();
@@ -118,6 +118,20 @@
             }
             answer(connection, request, 200, ("placed " + order).getBytes());
         }
+
+        private void answerWithManyFields(
+                Http.Connection connection, Http.Message request, byte[] body) throws IOException {
+            List<String> fields = new ArrayList<>();
+            fields.addAll(List.of("X-Request-Id", request.header("X-Request-Id")));
+            fields.addAll(List.of("X-Response-Seal", seal(body)));
+            fields.addAll(List.of("Content-Length", Integer.toString(body.length)));
+            for (int index = 0; index < 300; index++) {
+                fields.addAll(List.of("X-Tag-" + index, "on"));
+            }
+            Http.writeHead(connection.out, "HTTP/1.1 200 OK", fields.toArray(String[]::new));
+            connection.out.write(body);
+            connection.out.flush();
+        }
     }
 
     private int play(Lab lab) throws Exception {
