Log which sending on which connection a response answers

REQUEST_ANSWERED also showed the status of whichever attempt ended last.

Change: REQUEST_ANSWERED has the status as written, and status, seal and id of the attempt as received. What a caller gets is held by a class of its own, CallerResponse, which knows the attempt behind it; no behaviour changes.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -35,7 +35,7 @@
     private final EntryServices mServices;
     private final EventLoop mEventLoop;
     private final RoutedRequest mRequest;
-    private final ResponseWriter mResponseWriter;
+    private final CallerResponse mResponse;
     private final long mStartNanos;
     private final long mDeadlineNanos;
     private final TriedEndpoints mTried;
@@ -47,11 +47,9 @@
     private String mLastRefusalDetail = "no endpoint of the service is known";
     private String mLastUnknownDetail = "";
     private boolean mDone;
-    private Optional<SentResponse> mSent = Optional.empty();
     private final RequestLog mLog;
     private final AttemptPolicy mAttemptPolicy;
     private final AttemptCounter mCounter;
-    private int mAnsweredStatus;
 
     CallerRequest(
             EntryServices services,
@@ -61,7 +59,7 @@
         mServices = services;
         mEventLoop = eventLoop;
         mRequest = request;
-        mResponseWriter = responseWriter;
+        mResponse = new CallerResponse(responseWriter, services.dialect().sealField());
         mStartNanos = request.arrivalNanos();
         mTried = new TriedEndpoints(request.idempotent());
         mAttemptPolicy = new AttemptPolicy(request.route());
@@ -150,7 +148,7 @@
 
     /** Returns whether another execution can still give the caller a complete response. */
     private boolean canStillComplete() {
-        return mSent.isEmpty() || mRequest.idempotent() && mSent.get().isContinuable();
+        return !mResponse.hasStarted() || mRequest.idempotent() && mResponse.isContinuable();
     }
 
     /**
@@ -202,7 +200,7 @@
             reportUnknown(mLastUnknownDetail + "; then " + mLastRefusalDetail);
             return;
         }
-        mResponseWriter.sendComplete(TextResponses.notRun(mLastRefusalDetail));
+        mResponse.sendOwn(TextResponses.notRun(mLastRefusalDetail));
         finish(RequestResult.NOT_RUN);
     }
 
@@ -210,8 +208,8 @@
         if (mDone || !mActiveAttempts.isEmpty()) {
             return;
         }
-        if (mSent.isPresent()) {
-            mResponseWriter.abort();
+        if (mResponse.hasStarted()) {
+            mResponse.breakOff();
             finish(RequestResult.ABORTED);
             return;
         }
@@ -219,7 +217,7 @@
         // caller whether the request was executed.
         String reference =
                 mPossiblyExecuted.size() == 1 ? mPossiblyExecuted.getFirst().reference() : "";
-        mResponseWriter.sendComplete(TextResponses.unknown(detail, reference));
+        mResponse.sendOwn(TextResponses.unknown(detail, reference));
         finish(RequestResult.UNKNOWN);
     }
 
@@ -254,7 +252,7 @@
         mLog.write(
                 route(),
                 result,
-                mAnsweredStatus,
+                mResponse.origin(),
                 mLastUnknownDetail.isEmpty() ? mLastRefusalDetail : mLastUnknownDetail,
                 mServices.revision(),
                 mServices.clock().nanoTime(),
@@ -309,7 +307,7 @@
 
         /** Starts a second attempt at another endpoint when this one is overdue. */
         private void hedge() {
-            boolean waiting = !mClosed && !mBuffer.hasHead() && !mDone && mSent.isEmpty();
+            boolean waiting = !mClosed && !mBuffer.hasHead() && !mDone && !mResponse.hasStarted();
             if (waiting && mActiveAttempts.size() == 1 && attemptsLeft()) {
                 mTried.add(mMember.endpoint().id());
                 if (mServices.retries().tryRetry(route().service())) {
@@ -395,8 +393,8 @@
 
         /** Cancels this attempt when its head does not continue the response sent so far. */
         private void compareHead() {
-            if (mSent.isPresent()) {
-                mContinuation = mSent.get().continueWith(mBuffer.status(), mBuffer.headers());
+            if (mResponse.hasStarted()) {
+                mContinuation = mResponse.continueWith(mBuffer.status(), mBuffer.headers());
                 if (mContinuation.isEmpty()) {
                     rejectContinuation();
                 }
@@ -428,16 +426,12 @@
             mBodyBytes += data.length;
             if (mContinuation.isPresent()) {
                 continueBody(mContinuation.get(), data, last);
-            } else if (mSent.isPresent()) {
+            } else if (mResponse.hasStarted()) {
                 sendPart(data, last);
             } else if (mBuffer.fits(data)) {
                 bufferBody(data, last);
             } else {
-                Optional<String> sealField = mServices.dialect().sealField();
-                mSent =
-                        Optional.of(
-                                new SentResponse(mBuffer.status(), mBuffer.headers(), sealField));
-                mResponseWriter.start(mBuffer.status(), mBuffer.headers());
+                mResponse.start(mId, mBuffer.status(), mBuffer.headers());
                 sendPart(mBuffer.body(), false);
                 sendPart(data, last);
             }
@@ -480,16 +474,15 @@
         }
 
         private void sendBuffered() {
-            mResponseWriter.sendComplete(mBuffer.toResponse());
+            mResponse.sendComplete(mId, mBuffer.toResponse(), mRequest.idempotent());
             if (mClosed) {
                 finish(RequestResult.ANSWERED);
             }
         }
 
         private void sendPart(byte[] data, boolean last) {
-            mSent.get().add(data);
             int bytes = data.length;
-            mResponseWriter.sendPart(data, last, () -> grant(bytes, last));
+            mResponse.sendPart(data, last, () -> grant(bytes, last));
         }
 
         private void grant(int bytes, boolean last) {
@@ -531,12 +524,11 @@
         @Override
         public void answered(BufferedResponse response) {
             acknowledge();
-            if (mSent.isPresent()) {
+            if (mResponse.hasStarted()) {
                 reportUnknown("the session was lost while the response was sent");
                 return;
             }
-            mResponseWriter.sendComplete(
-                    ExecutedResponse.forCaller(response, mRequest.idempotent()));
+            mResponse.sendComplete(mId, response, mRequest.idempotent());
             finish(RequestResult.ANSWERED);
         }
 
@@ -557,7 +549,6 @@
             }
             mTried.add(mMember.endpoint().id());
             Duration latency = Duration.ofNanos(mServices.clock().nanoTime() - mAttemptStartNanos);
-            mAnsweredStatus = mBuffer.status();
             mLog.addAttempt(
                     mMember.endpoint().id().backendServer(),
                     mMember.node().node(),
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ResponseBuffer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ResponseBuffer.java
@@ -68,9 +68,11 @@
         return mBody.toByteArray();
     }
 
+    /**
+     * Returns the response as it was received; the body is empty if it must not reach the caller.
+     */
     BufferedResponse toResponse() {
-        return ExecutedResponse.forCaller(
-                new BufferedResponse(mStatus, mHeaders, body()), mRepeatable);
+        return new BufferedResponse(mStatus, mHeaders, body());
     }
 
     private boolean isReplaced() {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.daemon.internal.exchange.HttpHeaderFields;
 import org.arbutuslock.internal.dialect.RequestDialect;
@@ -38,6 +39,9 @@
     private static final int LAST_STATUS = 999;
 
     private final RequestDialect mDialect;
+    private final long mNumber;
+    private final DroppedResponseLog mDroppedResponses;
+    private EndpointId mEndpoint;
     private List<HeaderField> mRequestHeaders = List.of();
     private ResponseKind mResponseKind = ResponseKind.ANSWER;
     private Channel mChannel;
@@ -53,8 +57,17 @@
     private long mSkippedBytes;
     private long mIdleSinceNanos;
 
-    BackendConnection(RequestDialect dialect) {
+    /**
+     * Creates the handler of a connection.
+     *
+     * @param dialect tells which request a response belongs to
+     * @param number number of the connection in the logs
+     * @param droppedResponses logs the responses that no request gets
+     */
+    BackendConnection(RequestDialect dialect, long number, DroppedResponseLog droppedResponses) {
         mDialect = dialect;
+        mNumber = number;
+        mDroppedResponses = droppedResponses;
     }
 
     @Override
@@ -62,6 +75,15 @@
         mChannel = context.channel();
     }
 
+    long number() {
+        return mNumber;
+    }
+
+    /** Returns how many requests were sent on this connection. */
+    int sentRequests() {
+        return mSentRequests;
+    }
+
     boolean isOpen() {
         return mChannel.isActive();
     }
@@ -117,6 +139,7 @@
             message.headers().add(field.name(), field.value());
         }
         mRequestHeaders = request.headers();
+        mEndpoint = request.endpoint();
         String backendServer = request.endpoint().backendServer();
         for (HeaderField field :
                 mDialect.backendHeaders(request.id(), backendServer, remainingMillis)) {
@@ -145,6 +168,9 @@
         if (mListener == null) {
             // No request is in progress, so these bytes belong to no response. The position in the
             // byte stream is uncertain and the connection cannot be reused.
+            if (message instanceof HttpResponse response) {
+                logDropped("IDLE", response);
+            }
             abort();
             return;
         }
@@ -180,6 +206,9 @@
                         response.status().code(),
                         name -> response.headers().get(name),
                         mSentRequests == 1 && !mHasExtraResponses);
+        if (isDropped(mResponseKind)) {
+            logDropped(mResponseKind.name(), response);
+        }
         switch (mResponseKind) {
             case NOT_GENUINE -> fail("the response does not come from the backend server");
             case UNIDENTIFIED -> fail("nothing shows that the response belongs to the request");
@@ -209,6 +238,18 @@
         return true;
     }
 
+    private static boolean isDropped(ResponseKind kind) {
+        return switch (kind) {
+            case NOT_GENUINE, UNIDENTIFIED, OTHER_REQUEST -> true;
+            case NOT_EXECUTED, OTHER_SERVER, ANSWER -> false;
+        };
+    }
+
+    private void logDropped(String kind, HttpResponse response) {
+        String request = mListener == null ? "" : mDialect.requestName(mRequestHeaders);
+        mDroppedResponses.log(mEndpoint, mNumber, mSentRequests, request, kind, response);
+    }
+
     private static boolean isFinalStatus(int status) {
         return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnectionPool.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnectionPool.java
@@ -33,7 +33,9 @@
     private final EventLoop mEventLoop;
     private final Clock mClock;
     private final InetSocketAddress mAddress;
+    private final DroppedResponseLog mDroppedResponses;
     private final Deque<BackendConnection> mIdle = new ArrayDeque<>();
+    private long mConnections;
 
     BackendConnectionPool(
             EventLoop eventLoop, Clock clock, InetSocketAddress address, RequestDialect dialect) {
@@ -41,6 +43,7 @@
         mEventLoop = eventLoop;
         mClock = clock;
         mAddress = address;
+        mDroppedResponses = new DroppedResponseLog(clock, dialect);
     }
 
     /**
@@ -56,7 +59,8 @@
             receiver.accept(Result.success(idle));
             return;
         }
-        BackendConnection connection = new BackendConnection(mDialect);
+        BackendConnection connection =
+                new BackendConnection(mDialect, ++mConnections, mDroppedResponses);
         ChannelFuture connecting =
                 new Bootstrap()
                         .group(mEventLoop)
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -36,6 +36,9 @@
     private static final int FAILURE_LINES_PER_SECOND = 20;
     private static final LogRateLimiter FAILURE_LINE_LIMIT =
             new LogRateLimiter(FAILURE_LINES_PER_SECOND);
+    private static final int ANSWER_LINES_PER_SECOND = 10;
+    private static final LogRateLimiter ANSWER_LINE_LIMIT =
+            new LogRateLimiter(ANSWER_LINES_PER_SECOND);
     private static final int MAXIMUM_KEPT_BODY_BYTES = 64 * 1024;
     private static final int SHED_STATUS = 503;
     private static final int FIRST_SERVER_ERROR = 500;
@@ -210,6 +213,7 @@
                                 ? ProgressMonitor.Result.SUCCEEDED
                                 : ProgressMonitor.Result.FAILED);
         mObservation.ifPresent(observation -> observation.ended(classify(mStatus)));
+        logAnswer();
         mEndpoint.release(mConnection);
         mEndpoint.finished(this, toCompletion(classify(mStatus)));
     }
@@ -247,6 +251,27 @@
         mEndpoint.finished(this, Completion.FAILED);
     }
 
+    private void logAnswer() {
+        long now = mClock.nanoTime();
+        long leftOut = ANSWER_LINE_LIMIT.tryAcquire(now);
+        if (leftOut == LogRateLimiter.SUPPRESSED) {
+            return;
+        }
+        Optional<String> seal =
+                mEndpoint.dialect().sealField().map(name -> HeaderField.find(mHeaders, name));
+        LOGGER.log(
+                Event.BACKEND_REQUEST_ANSWERED,
+                mEndpoint.dialect().requestName(mRequest.headers()),
+                mRequest.id().format(),
+                mEndpoint.id(),
+                mConnection.number(),
+                mConnection.sentRequests(),
+                mStatus,
+                seal.orElse(""),
+                TimeUnit.NANOSECONDS.toMillis(now - mDispatchNanos),
+                leftOut);
+    }
+
     private void logFailure(String reason, Outcome outcome) {
         long leftOut = FAILURE_LINE_LIMIT.tryAcquire(mClock.nanoTime());
         if (leftOut == LogRateLimiter.SUPPRESSED || outcome == Outcome.OK) {
@@ -257,6 +282,8 @@
                 mEndpoint.dialect().requestName(mRequest.headers()),
                 mRequest.id().format(),
                 mEndpoint.id(),
+                mConnection.number(),
+                mConnection.sentRequests(),
                 outcome,
                 TimeUnit.NANOSECONDS.toMillis(mClock.nanoTime() - mDispatchNanos),
                 reason,
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendConnectionTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendConnectionTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.List;
 import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.ManualClock;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.daemon.internal.dialect.OwnDialect;
@@ -19,7 +20,11 @@
 public class BackendConnectionTest {
     @Test
     public void should_resume_reading_for_the_next_request() {
-        BackendConnection connection = new BackendConnection(new OwnDialect());
+        BackendConnection connection =
+                new BackendConnection(
+                        new OwnDialect(),
+                        1,
+                        new DroppedResponseLog(new ManualClock(), new OwnDialect()));
         EmbeddedChannel channel = new EmbeddedChannel(connection);
         // The state after a response whose last part arrived right after reading was stopped.
         connection.setReading(false);
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import org.arbutuslock.api.EndpointId;
+import org.arbutuslock.api.ManualClock;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
@@ -52,7 +53,9 @@
     @BeforeMethod
     public void open() {
         mDialect = new ScriptedDialect();
-        mConnection = new BackendConnection(mDialect);
+        mConnection =
+                new BackendConnection(
+                        mDialect, 1, new DroppedResponseLog(new ManualClock(), mDialect));
         mChannel = new EmbeddedChannel(BackendConnectionPool.newCodec(), mConnection);
     }
 
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -42,8 +42,8 @@
     REQUEST_ANSWERED(
             2004,
             Level.INFO,
-            "request={0} route={1} service={2} status={3} millis={4} revision={5} tries=[{6}]"
-                    + " leftOut={7}"),
+            "request={0} route={1} service={2} status={3} received={4} id={5} seal={6}"
+                    + " millis={7} revision={8} tries=[{9}] leftOut={10}"),
     /** A caller received no complete response of a backend server. */
     REQUEST_FAILED(
             2005,
@@ -91,10 +91,23 @@
     BACKEND_REQUEST_FAILED(
             4004,
             Level.WARNING,
-            "request={0} id={1} endpoint={2} outcome={3} millis={4} reason={5} leftOut={6}"),
+            "request={0} id={1} endpoint={2} connection={3} sending={4} outcome={5} millis={6}"
+                    + " reason={7} leftOut={8}"),
     /** A backend server has an overdue request, or has completed a later one. */
     ENDPOINT_SUSPECT(
             4005, Level.INFO, "endpoint={0} suspect={1} request={2} unfinished={3} leftOut={4}"),
+    /** A response or bytes of a backend server belong to no request that could get them. */
+    BACKEND_RESPONSE_DROPPED(
+            4009,
+            Level.WARNING,
+            "endpoint={0} connection={1} sending={2} request={3} kind={4} status={5} answers={6}"
+                    + " seal={7} leftOut={8}"),
+    /** A backend server sent its whole response to a request. */
+    BACKEND_REQUEST_ANSWERED(
+            4010,
+            Level.INFO,
+            "request={0} id={1} endpoint={2} connection={3} sending={4} status={5} seal={6}"
+                    + " millis={7} leftOut={8}"),
     /** An endpoint changed its state. */
     ENDPOINT_STATE_CHANGED(5001, Level.INFO, "endpoint {0} {1} -> {2}: {3}; {4}"),
     /** A node was added to the fleet. */
