Send no request twice on one connection to a backend server

Cause: a response on a kept connection is recognized by the request id that it echoes. That id names the request, not the sending. A connection was kept from a request only if the request had been refused on it; after a success or a failure of the server's own, the next attempt of the same request could get the same connection, and a late copy of the first response was taken for the second one.

Ruled out: a copy that arrives while the connection is idle (the connection closes) or while another request is in progress (the id differs, the copy is dropped and the connection is not used again).

Change: a connection remembers the names of all requests that were sent on it and does not get one of them again; after 1,024 names it is not used again, so that the memory is bounded. The pool leaves such a connection to other requests instead of closing it, and logs the decision (BACKEND_REQUEST_REPEATED, 4011).

Why this works: between a sending and the next one of the same request there is no byte on a connection that could be taken for either.

Evidence: BackendResponseTest#should_not_carry_a_request_again_that_was_sent_on_the_connection failed for four framings before ("expected [false] but found [true]"), #should_not_remember_sent_requests_without_end found 10000 requests; both pass now, with Backend*Test, Caller*Test, Platform*Test and EventsPageTest (mvn verify -pl kernel,daemon,platform -am).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -31,7 +31,7 @@
  * after a complete response. Confined to its event loop.
  */
 final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
-    private static final int MAXIMUM_REFUSED_NAMES = 64;
+    private static final int MAXIMUM_SENT_NAMES = 1_024;
     private static final int MAXIMUM_INTERIM_RESPONSES = 32;
     private static final int MAXIMUM_SKIPPED_BYTES = 64 * 1024;
     private static final int SWITCHING_PROTOCOLS = 101;
@@ -50,7 +50,7 @@
     // Set when a response arrived that does not belong to the request in progress.
     private boolean mHasExtraResponses;
     private int mSentRequests;
-    private final Set<String> mRefusedNames = new HashSet<>();
+    private final Set<String> mSentNames = new HashSet<>();
     private boolean mHeadRequest;
     private boolean mInterim;
     private int mInterimResponses;
@@ -91,17 +91,17 @@
     boolean isReusable() {
         return mReusable
                 && !mHasExtraResponses
-                && mRefusedNames.size() < MAXIMUM_REFUSED_NAMES
+                && mSentNames.size() < MAXIMUM_SENT_NAMES
                 && mChannel.isActive();
     }
 
     /**
-     * Returns whether a response that arrives next would belong to this request beyond doubt. It
-     * would not if the same request was refused on this connection, because a copy of that refusal
-     * may still follow.
+     * Returns whether a response that names this request would belong to its next sending beyond
+     * doubt. It would not if the request was sent on this connection before, because a late copy of
+     * the earlier response has the same name.
      */
     boolean isUnambiguousFor(ExecutionRequest request) {
-        return !mRefusedNames.contains(mDialect.requestName(request.headers()));
+        return !mSentNames.contains(mDialect.requestName(request.headers()));
     }
 
     long idleSinceNanos() {
@@ -139,6 +139,10 @@
             message.headers().add(field.name(), field.value());
         }
         mRequestHeaders = request.headers();
+        String name = mDialect.requestName(mRequestHeaders);
+        if (!name.isEmpty()) {
+            mSentNames.add(name);
+        }
         mEndpoint = request.endpoint();
         String backendServer = request.endpoint().backendServer();
         for (HeaderField field :
@@ -214,9 +218,7 @@
             case UNIDENTIFIED -> fail("nothing shows that the response belongs to the request");
             // The response to the current request may still follow.
             case OTHER_REQUEST -> mHasExtraResponses = true;
-            case NOT_EXECUTED, OTHER_SERVER ->
-                    mRefusedNames.add(mDialect.requestName(mRequestHeaders));
-            case ANSWER -> {}
+            case NOT_EXECUTED, OTHER_SERVER, ANSWER -> {}
         }
         if (mListener == null) {
             return false;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnectionPool.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnectionPool.java
@@ -13,14 +13,22 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.function.Consumer;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.Result;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.internal.dialect.RequestDialect;
+import org.arbutuslock.internal.logging.Event;
+import org.arbutuslock.internal.logging.EventLogger;
+import org.arbutuslock.internal.logging.LogRateLimiter;
 
 /** Reuses idle connections to one backend server. Confined to one event loop. */
 final class BackendConnectionPool {
+    private static final EventLogger LOGGER = EventLogger.forComponent("home");
+    private static final int REPETITION_LINES_PER_SECOND = 10;
+    private static final LogRateLimiter REPETITION_LINE_LIMIT =
+            new LogRateLimiter(REPETITION_LINES_PER_SECOND);
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final int MAXIMUM_IDLE_CONNECTIONS = 64;
     private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
@@ -118,14 +126,37 @@
 
     private BackendConnection takeIdle(ExecutionRequest request) {
         long limit = request.idempotent() ? IDLE_LIMIT_NANOS : NON_IDEMPOTENT_IDLE_LIMIT_NANOS;
-        while (!mIdle.isEmpty()) {
-            BackendConnection connection = mIdle.pop();
+        int ambiguous = 0;
+        BackendConnection found = null;
+        for (Iterator<BackendConnection> idle = mIdle.iterator();
+                idle.hasNext() && found == null; ) {
+            BackendConnection connection = idle.next();
             boolean fresh = mClock.nanoTime() - connection.idleSinceNanos() < limit;
-            if (fresh && connection.isOpen() && connection.isUnambiguousFor(request)) {
-                return connection;
+            if (!fresh || !connection.isOpen()) {
+                idle.remove();
+                connection.abort();
+            } else if (connection.isUnambiguousFor(request)) {
+                idle.remove();
+                found = connection;
+            } else {
+                ambiguous++;
             }
-            connection.abort();
         }
-        return null;
+        if (ambiguous > 0) {
+            logRepetition(request, ambiguous);
+        }
+        return found;
+    }
+
+    private void logRepetition(ExecutionRequest request, int connections) {
+        long leftOut = REPETITION_LINE_LIMIT.tryAcquire(mClock.nanoTime());
+        if (leftOut != LogRateLimiter.SUPPRESSED) {
+            LOGGER.log(
+                    Event.BACKEND_REQUEST_REPEATED,
+                    mDialect.requestName(request.headers()),
+                    request.endpoint(),
+                    connections,
+                    leftOut);
+        }
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -188,6 +188,34 @@
         assertTrue(mConnection.isUnambiguousFor(request("POST", "second")));
     }
 
+    @DataProvider
+    public Object[][] firstResponses() {
+        return new Object[][] {
+            {LENGTH},
+            {"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\nbody"},
+            {CHUNKS},
+            {EMPTY},
+        };
+    }
+
+    /** Guards against a late copy of one response that is taken for the response to the next. */
+    @Test(dataProvider = "firstResponses")
+    public void should_not_carry_a_request_again_that_was_sent_on_the_connection(String response) {
+        exchange("GET", "first", response);
+        assertTrue(mConnection.isReusable());
+        assertFalse(mConnection.isUnambiguousFor(request("GET", "first")));
+        assertTrue(mConnection.isUnambiguousFor(request("GET", "second")));
+    }
+
+    @Test
+    public void should_not_remember_sent_requests_without_end() {
+        int requests = 0;
+        do {
+            exchange("GET", "request-" + requests++, LENGTH);
+        } while (mConnection.isReusable() && requests < 10_000);
+        assertEquals(requests, 1_024);
+    }
+
     @Test
     public void should_stop_reading_a_refusal_without_end() {
         mDialect.mKinds.add(ResponseKind.NOT_EXECUTED);
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -108,6 +108,9 @@
             Level.INFO,
             "request={0} id={1} endpoint={2} connection={3} sending={4} status={5} seal={6}"
                     + " millis={7} leftOut={8}"),
+    /** Idle connections are left alone because the request was sent on them before. */
+    BACKEND_REQUEST_REPEATED(
+            4011, Level.INFO, "request={0} endpoint={1} connectionsLeftAlone={2} leftOut={3}"),
     /** An endpoint changed its state. */
     ENDPOINT_STATE_CHANGED(5001, Level.INFO, "endpoint {0} {1} -> {2}: {3}; {4}"),
     /** A node was added to the fleet. */
