Drop a response head that was joined from two responses

Cause: a backend server that breaks off in the head of a response, or of a late copy of one, and goes on with its next response on the same connection leaves one head for the decoder. Cut behind the status or inside a field, it has the status of the first response and the request id, the seal and the body of the second, and so it passed as the response to the request. No second sending is needed for that; orders are affected too.

Ruled out: cuts inside a field name, at the end of a line or in a body. The decoder fails there, and the request ends with an unknown outcome (the same test goes through each byte).

Change: a head with another status line behind the reason phrase or inside a field is dropped; the connection closes, the outcome is unknown. BACKEND_RESPONSE_DROPPED has kind=JOINED. A field that merely names a protocol version (Via, Upgrade) is no status line.

Why this works: the bytes that a joined head has of the second response begin with its status line, whatever the place of the cut.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -191,6 +191,11 @@
     }
 
     private boolean readHead(HttpResponse response) {
+        if (ResponseHeads.isJoined(response)) {
+            logDropped("JOINED", response);
+            fail("the head contains another status line");
+            return false;
+        }
         int status = response.status().code();
         mInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (status == SWITCHING_PROTOCOLS || !mInterim && !isFinalStatus(status)) {
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -207,6 +207,53 @@
         assertTrue(mConnection.isUnambiguousFor(request("GET", "second")));
     }
 
+    @DataProvider
+    public Object[][] copies() {
+        String fields = "Date: today\r\nX-Name: first\r\nX-Seal: 1\r\nContent-Length: 4\r\n\r\n";
+        return new Object[][] {
+            {"HTTP/1.1 200 OK\r\n" + fields + "body"},
+            {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n" + fields},
+        };
+    }
+
+    /** Guards against the status of a copy that breaks off, with the rest of the next response. */
+    @Test(dataProvider = "copies")
+    public void should_not_join_a_copy_that_breaks_off_with_the_next_response(String copy) {
+        String next = "HTTP/1.1 500 Failed\r\nX-Name: second\r\nContent-Length: 4\r\n\r\nfail";
+        for (int length = 1; length < copy.length(); length++) {
+            for (boolean kept : new boolean[] {false, true}) {
+                open();
+                if (kept) {
+                    exchange("GET", "first", LENGTH);
+                }
+                mDialect.mNamed = true;
+                List<BackendEvent> events =
+                        exchange("GET", "second", copy.substring(0, length) + next);
+                mChannel.close();
+                String label = "kept " + kept + ", cut behind " + copy.substring(0, length);
+                events.stream()
+                        .filter(event -> event instanceof BackendEvent.Head)
+                        .forEach(
+                                head ->
+                                        assertEquals(
+                                                ((BackendEvent.Head) head).status(), 500, label));
+                assertEquals(events.stream().filter(this::isEnd).count(), 1, label);
+                mChannel.finishAndReleaseAll();
+            }
+        }
+    }
+
+    /** Guards against a response that fails because a field quotes a protocol version. */
+    @Test
+    public void should_read_a_head_whose_fields_name_a_protocol_version() {
+        String quoting =
+                "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nUpgrade: HTTP/2.0\r\n"
+                        + "Content-Length: 4\r\n\r\nbody";
+        List<BackendEvent> events = exchange("GET", "first", quoting);
+        assertEquals(((BackendEvent.Head) events.getFirst()).status(), 200);
+        assertTrue(events.getLast() instanceof BackendEvent.Body);
+    }
+
     @Test
     public void should_not_remember_sent_requests_without_end() {
         int requests = 0;
@@ -281,10 +328,14 @@
                 SubmissionRequirements.NONE);
     }
 
-    /** Classifies responses as the test says, as answers when it says nothing. */
+    /**
+     * Classifies responses as the test says, as answers when it says nothing; by their names when
+     * the test asks for it.
+     */
     private static final class ScriptedDialect implements RequestDialect {
         private final Deque<ResponseKind> mKinds = new ArrayDeque<>();
         private final List<Boolean> mPositions = new ArrayList<>();
+        private boolean mNamed;
 
         @Override
         public String requestName(HeaderAccessor headers) {
@@ -319,6 +370,9 @@
                 HeaderAccessor response,
                 boolean firstOnConnection) {
             mPositions.add(firstOnConnection);
+            if (mNamed && !HeaderField.find(request, NAME).equals(response.firstValue(NAME))) {
+                return ResponseKind.OTHER_REQUEST;
+            }
             return mKinds.isEmpty() ? ResponseKind.ANSWER : mKinds.remove();
         }
     }
