Break off a response that has started instead of sending another one

A caller that had got a part of a large response was left waiting: the node wrote an earlier failure behind it, which the HTTP encoder refuses in the middle of a body, and left the connection open.

Cause: a failure of a backend server is kept as a fallback while the request is tried again. When the next response started, broke off and could not be continued, or reached the deadline, refuse() and giveUp() sent the fallback without asking whether a response had started.

Change: a response that has started is broken off, whatever ends the request. The check stands in one method that all three ends of a request use.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -189,7 +189,7 @@
 
     /** Refuses the request, unless an earlier attempt may have been executed. */
     private void refuse() {
-        if (mDone || !mActiveAttempts.isEmpty()) {
+        if (mDone || !mActiveAttempts.isEmpty() || breakOffStarted()) {
             return;
         }
         if (mFallback.isPresent()) {
@@ -205,12 +205,7 @@
     }
 
     private void reportUnknown(String detail) {
-        if (mDone || !mActiveAttempts.isEmpty()) {
-            return;
-        }
-        if (mResponse.hasStarted()) {
-            mResponse.breakOff();
-            finish(RequestResult.ABORTED);
+        if (mDone || !mActiveAttempts.isEmpty() || breakOffStarted()) {
             return;
         }
         // With several possibly executed attempts, the outcome of one of them does not tell the
@@ -221,6 +216,16 @@
         finish(RequestResult.UNKNOWN);
     }
 
+    /** Ends a response that has started, since nothing but the rest of its body may follow. */
+    private boolean breakOffStarted() {
+        if (!mResponse.hasStarted()) {
+            return false;
+        }
+        mResponse.breakOff();
+        finish(RequestResult.ABORTED);
+        return true;
+    }
+
     private void deadlinePassed() {
         giveUp("the deadline of " + mRequest.timeoutMillis() + " ms passed");
     }
@@ -232,6 +237,9 @@
         List<Attempt> activeAttempts = List.copyOf(mActiveAttempts);
         cancelAttempts();
         activeAttempts.forEach(attempt -> attempt.recordPossibleExecution(detail));
+        if (breakOffStarted()) {
+            return;
+        }
         if (mFallback.isPresent()) {
             mFallback.get().sendBuffered();
             return;
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
@@ -7,9 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.ManualClock;
 import org.arbutuslock.api.RequestId;
 import org.arbutuslock.api.RouteDefinition;
@@ -24,11 +22,8 @@
 import org.arbutuslock.daemon.internal.sessions.HomeNode;
 import org.arbutuslock.daemon.internal.sessions.LocalNode;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
-import org.arbutuslock.internal.ejection.EndpointState;
 import org.arbutuslock.internal.execution.RefusalReason;
-import org.arbutuslock.internal.membership.EndpointRecord;
 import org.arbutuslock.internal.membership.FleetSnapshot;
-import org.arbutuslock.internal.membership.NodeRecord;
 import org.arbutuslock.internal.messages.BufferedResponse;
 import org.arbutuslock.internal.messages.HeaderField;
 import org.arbutuslock.internal.messages.OutcomeState;
@@ -66,7 +61,7 @@
         mClock = new ManualClock();
         mChannel = new EmbeddedChannel();
         mHomeNode = new RefusingHomeNode();
-        mChooser = new LocalEndpointChooser();
+        mChooser = new LocalEndpointChooser(0);
         mResponseWriter = new StatusRecorder();
     }
 
@@ -87,7 +82,7 @@
 
     @Test
     public void should_wait_for_endpoints_when_the_node_has_just_started() {
-        mChooser.mCallsWithoutEndpoint = 1;
+        mChooser = new LocalEndpointChooser(1);
         start();
         assertEquals(mHomeNode.mSubmissions, 0);
         mChannel.advanceTimeBy(50, TimeUnit.MILLISECONDS);
@@ -142,7 +137,7 @@
                         mChooser,
                         () -> FleetSnapshot.EMPTY,
                         new HomeNodeClient(LOCAL, mHomeNode, null),
-                        new UnlimitedRetries(),
+                        new UnlimitedRetryPolicy(),
                         (route, tenant, latency, result) -> {},
                         new OwnDialect());
         new CallerRequest(services, mChannel.eventLoop(), routedRequest(), mResponseWriter).start();
@@ -223,36 +218,6 @@
         public void acknowledge(RequestId id) {}
     }
 
-    /** Chooses no endpoint for the given number of calls, then a new one of this node each time. */
-    private static final class LocalEndpointChooser extends StatelessEndpointChooser {
-        private int mCallsWithoutEndpoint;
-
-        @Override
-        public Optional<FleetSnapshot.Member> choose(
-                RouteDefinition route, boolean idempotent, Set<EndpointId> tried) {
-            if (mCallsWithoutEndpoint-- > 0) {
-                return Optional.empty();
-            }
-            EndpointId id = new EndpointId("orders", "orders-" + tried.size());
-            EndpointRecord endpoint = new EndpointRecord(id, 5, EndpointState.IN_SERVICE, 100);
-            NodeRecord node =
-                    new NodeRecord(
-                            "a", 9, 1, "127.0.0.1:1", "west", "calgary", 0, false, List.of());
-            return Optional.of(new FleetSnapshot.Member(node, endpoint));
-        }
-    }
-
-    /** Allows every retry. */
-    private static final class UnlimitedRetries implements RetryPolicy {
-        @Override
-        public void recordFirstAttempt(String service) {}
-
-        @Override
-        public boolean tryRetry(String service) {
-            return true;
-        }
-    }
-
     /** Records the status of the response. */
     private static final class StatusRecorder implements ResponseWriter {
         private int mStatus;
