Let one attempt alone write the body of a response

Found by reading, not reported.

Cause: the head of a failure does not end the other attempts of a request, because one of them may still succeed. When the large body of one failure started to be sent, another attempt that already had its own head was neither compared with it nor ended, and its body was appended.

Change: the attempt that starts to send a response ends all others. Attempts that start later are compared with what was sent, as before.

Evidence: CallerResponseTest#should_not_append_the_body_of_another_attempt failed before ("last 5 != last 3") and passes now, with Caller*Test, AttemptCounterTest and SentResponseTest.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -439,6 +439,9 @@
             } else if (mBuffer.fits(data)) {
                 bufferBody(data, last);
             } else {
+                // A failure does not end the other attempts at its head; its body must not mix with
+                // theirs.
+                cancelOtherAttempts();
                 mResponse.start(mId, mBuffer.status(), mBuffer.headers());
                 sendPart(mBuffer.body(), false);
                 sendPart(data, last);
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerResponseTest.java
@@ -88,6 +88,18 @@
         assertEquals(mWritten, List.of("start 200", "part 0", "part 70000", "abort"));
     }
 
+    @Test
+    public void should_not_append_the_body_of_another_attempt() {
+        advance(OBJECTIVE_MILLIS);
+        assertEquals(mAttempts.size(), 2, "the first attempt is overdue");
+        send(0, head(500));
+        send(1, head(500));
+        send(0, body(LARGE, false));
+        send(1, body(new byte[3], true));
+        send(0, body(new byte[5], true));
+        assertEquals(mWritten, List.of("start 500", "part 0", "part 70000", "last 5"));
+    }
+
     private void failFirstAttempt() {
         send(0, head(500), body(new byte[1], true));
         assertEquals(mAttempts.size(), 2, "the failure is retried");
