Send a request to no backend server again that executes it or has executed it

Cause: an endpoint that refused a request as suspect, unproven or unreachable may be chosen again when no other is left. It stayed in that set after it had then executed the request, and also while it was executing it: the attempt that starts when the first one is overdue could go to the very server that was hanging.

Change: only the last result at an endpoint counts. An endpoint whose path failed is still chosen again when no other is left.

Evidence: TriedEndpointsTest#should_not_choose_an_endpoint_again_that_executed_the_request_after_a_refusal and #should_choose_an_endpoint_again_whose_path_failed failed before ("expected [Optional.empty] but found [Optional[orders/orders-0]]") and pass now, with Caller*Test and AttemptCounterTest.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/TriedEndpoints.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/TriedEndpoints.java
@@ -30,9 +30,16 @@
         mHealth = repeatable ? RequiredHealth.NOT_SUSPECT : RequiredHealth.PROVEN;
     }
 
-    /** Adds an endpoint that must not get the request again while other endpoints are left. */
+    /**
+     * Adds an endpoint that must not get the request again while other endpoints are left. A reason
+     * to choose it again must be recorded after this call, because only the last result at an
+     * endpoint counts.
+     */
     void add(EndpointId endpoint) {
         mTried.add(endpoint);
+        mPathFailed.remove(endpoint);
+        mSuspects.remove(endpoint);
+        mUnproven.remove(endpoint);
     }
 
     /** Records that the path to an endpoint failed, not the endpoint itself. */
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/TriedEndpointsTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/TriedEndpointsTest.java
@@ -62,6 +62,35 @@
         assertEquals(tried.requiredHealth(), RequiredHealth.ANY);
     }
 
+    /** Guards against two executions at one backend server, the second of which hides the first. */
+    @Test
+    public void should_not_choose_an_endpoint_again_that_executed_the_request_after_a_refusal() {
+        TriedEndpoints tried = new TriedEndpoints(true);
+        for (int index = 0; index < ENDPOINTS; index++) {
+            tried.add(id(index));
+            tried.addSuspect(id(index));
+        }
+        assertEquals(choose(tried), Optional.of(id(0)));
+        tried.add(id(0));
+        assertEquals(choose(tried), Optional.of(id(1)));
+        for (int index = 1; index < ENDPOINTS; index++) {
+            tried.add(id(index));
+        }
+        assertEquals(choose(tried), Optional.empty());
+    }
+
+    @Test
+    public void should_choose_an_endpoint_again_whose_path_failed() {
+        TriedEndpoints tried = new TriedEndpoints(true);
+        for (int index = 0; index < ENDPOINTS; index++) {
+            tried.add(id(index));
+        }
+        tried.addPathFailure(id(3));
+        assertEquals(choose(tried), Optional.of(id(3)));
+        tried.add(id(3));
+        assertEquals(choose(tried), Optional.empty());
+    }
+
     private static void refuseUnproven(TriedEndpoints tried, int index) {
         tried.add(id(index));
         tried.addUnproven(id(index));
