End a request whose response another response may have swallowed

Cause: a late copy of the response to request A breaks off in its body, or in the trailer of its chunks. The decoder takes the next bytes, the response to request B, for the rest of that body, which the connection discards as belonging to A. When a copy of B's response with the other status follows, it is the first response that names B and passes as the answer.

Ruled out: a joined head, since the head of A is whole here; a second sending of B.

Change: the connection searches the body and the trailer that it discards for a status line, also across parts. With one the request ends with an unknown outcome and the connection closes. A discarded body that merely quotes a status line ends the request too; only servers that answer twice cause that.

Why this works: the swallowed part of a response begins with its status line. If the body ends inside that line, the decoder fails at the rest.

Evidence: BackendResponseTest#should_not_answer_with_a_copy_of_a_response_that_another_copy_swallowed and #..._that_a_trailer_swallowed failed before (a head with status 200 where the server sent 500 first) and pass now, with Backend*Test, Platform*Test and EventsPageTest.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -54,7 +54,7 @@
     private boolean mHeadRequest;
     private boolean mInterim;
     private int mInterimResponses;
-    private long mSkippedBytes;
+    private SkippedBody mSkippedBody = new SkippedBody();
     private long mIdleSinceNanos;
 
     /**
@@ -208,7 +208,7 @@
             }
             return false;
         }
-        mSkippedBytes = 0;
+        mSkippedBody = new SkippedBody();
         mResponseKind =
                 mDialect.classifyResponse(
                         mRequestHeaders,
@@ -268,7 +268,7 @@
         }
         boolean last = content instanceof LastHttpContent;
         if (mResponseKind != ResponseKind.ANSWER) {
-            skipBody(content.content().readableBytes(), last);
+            skipBody(content, last);
             return;
         }
         if (!last && !content.content().isReadable()) {
@@ -284,11 +284,17 @@
 
     /**
      * Discards the body of a response that is not the answer to the request. Such a body may have
-     * no end, so the connection closes after a bounded number of bytes.
+     * no end, so the connection closes after a bounded number of bytes. It also closes when the
+     * body contains the start of a response, which may be the one to the request: what follows may
+     * be a copy of that response with another status.
      */
-    private void skipBody(int bytes, boolean last) {
-        mSkippedBytes += bytes;
-        boolean tooLong = mSkippedBytes > MAXIMUM_SKIPPED_BYTES;
+    private void skipBody(HttpContent content, boolean last) {
+        mSkippedBody.add(content);
+        if (mResponseKind == ResponseKind.OTHER_REQUEST && mSkippedBody.containsResponse()) {
+            fail("a response to another request contains a status line");
+            return;
+        }
+        boolean tooLong = mSkippedBody.bytes() > MAXIMUM_SKIPPED_BYTES;
         if (!last && !tooLong) {
             return;
         }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ResponseHeads.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ResponseHeads.java
@@ -30,7 +30,8 @@
         return false;
     }
 
-    private static boolean containsStatusLine(String text) {
+    /** Returns whether a text contains the start of a response. */
+    static boolean containsStatusLine(String text) {
         return text.contains(VERSION_START) && STATUS_LINE.matcher(text).find();
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -243,6 +243,63 @@
         }
     }
 
+    /** Guards against the late copy of a response that was read as the body of another copy. */
+    @Test
+    public void should_not_answer_with_a_copy_of_a_response_that_another_copy_swallowed() {
+        String answer = "HTTP/1.1 500 Failed\r\nX-Name: second\r\nContent-Length: 4\r\n\r\nfail";
+        String ownCopy = "HTTP/1.1 200 OK\r\nX-Name: second\r\nContent-Length: 4\r\n\r\nbody";
+        for (int sent = 0; sent < 20; sent++) {
+            int length = sent + answer.length();
+            String extra =
+                    "HTTP/1.1 200 OK\r\nX-Name: first\r\nContent-Length: "
+                            + length
+                            + "\r\n\r\n"
+                            + "x".repeat(sent);
+            for (int part = 0; part <= answer.length(); part++) {
+                open();
+                exchange("GET", "first", LENGTH);
+                mDialect.mNamed = true;
+                List<BackendEvent> events =
+                        exchange("GET", "second", extra + answer.substring(0, part));
+                receive(answer.substring(part));
+                receive(ownCopy);
+                mChannel.close();
+                assertEquals(events.size(), 1, "part of " + part + " bytes: " + events);
+                assertTrue(events.getFirst() instanceof BackendEvent.Broken);
+                mChannel.finishAndReleaseAll();
+            }
+        }
+    }
+
+    /** Guards against a copy in chunks whose trailer takes up the next response. */
+    @Test
+    public void should_not_answer_with_a_copy_of_a_response_that_a_trailer_swallowed() {
+        String extra =
+                "HTTP/1.1 200 OK\r\nX-Name: first\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "2\r\nbo\r\n0\r\nX-Odd: 1\r\n";
+        String answer = "HTTP/1.1 500 Failed\r\nX-Name: second\r\nContent-Length: 0\r\n\r\n";
+        String ownCopy = "HTTP/1.1 200 OK\r\nX-Name: second\r\nContent-Length: 0\r\n\r\n";
+        for (int length = extra.indexOf("chunked") + 11; length <= extra.length(); length++) {
+            open();
+            exchange("GET", "first", LENGTH);
+            mDialect.mNamed = true;
+            List<BackendEvent> events =
+                    exchange("GET", "second", extra.substring(0, length) + answer);
+            receive(ownCopy);
+            mChannel.close();
+            String label = "cut behind " + extra.substring(0, length) + ": " + events;
+            assertFalse(
+                    events.stream().anyMatch(event -> event instanceof BackendEvent.Head), label);
+            mChannel.finishAndReleaseAll();
+        }
+    }
+
+    private void receive(String bytes) {
+        if (mChannel.isOpen() && !bytes.isEmpty()) {
+            mChannel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+        }
+    }
+
     /** Guards against a response that fails because a field quotes a protocol version. */
     @Test
     public void should_read_a_head_whose_fields_name_a_protocol_version() {
