Start no attempt at a backend server that still executes the request

Cause: an endpoint counted as tried when its attempt ended, or when that attempt was overdue. With two attempts in progress, the failure of one started a third at the server of the other.

Change: an endpoint counts as tried from the start of the attempt.

Evidence: CallerResponseTest#should_not_start_an_attempt_at_a_server_that_executes_the_request failed before ("orders-2 != orders-1") and passes now, with TriedEndpointsTest, Caller*Test and AttemptCounterTest.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -291,6 +291,7 @@
         }
 
         private void start() {
+            mTried.add(mMember.endpoint().id());
             mServices.chooser().started(mMember, route());
             ExecutionRequest request =
                     mRequest.toExecutionRequest(
@@ -316,11 +317,11 @@
         /** Starts a second attempt at another endpoint when this one is overdue. */
         private void hedge() {
             boolean waiting = !mClosed && !mBuffer.hasHead() && !mDone && !mResponse.hasStarted();
-            if (waiting && mActiveAttempts.size() == 1 && attemptsLeft()) {
-                mTried.add(mMember.endpoint().id());
-                if (mServices.retries().tryRetry(route().service())) {
-                    startAttempt();
-                }
+            if (waiting
+                    && mActiveAttempts.size() == 1
+                    && attemptsLeft()
+                    && mServices.retries().tryRetry(route().service())) {
+                startAttempt();
             }
         }
 
@@ -558,7 +559,6 @@
             if (mHedgeTimer != null) {
                 mHedgeTimer.cancel(false);
             }
-            mTried.add(mMember.endpoint().id());
             Duration latency = Duration.ofNanos(mServices.clock().nanoTime() - mAttemptStartNanos);
             mLog.addAttempt(
                     mMember.endpoint().id().backendServer(),
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerResponseTest.java
@@ -33,7 +33,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Guards against a response to a caller that consists of the responses of two attempts. */
+/** Guards against attempts of one request that are taken for each other. */
 public class CallerResponseTest {
     private static final int OBJECTIVE_MILLIS = 100;
     private static final int DEADLINE_MILLIS = 1_000;
@@ -43,6 +43,7 @@
     private ManualClock mClock;
     private EmbeddedChannel mChannel;
     private List<ResponseListener> mAttempts;
+    private List<String> mEndpoints;
     private List<String> mWritten;
 
     @BeforeMethod
@@ -50,6 +51,7 @@
         mClock = new ManualClock();
         mChannel = new EmbeddedChannel();
         mAttempts = new ArrayList<>();
+        mEndpoints = new ArrayList<>();
         mWritten = new ArrayList<>();
         LocalNode local = new LocalNode("a", 9, "west", "calgary", "127.0.0.1:1");
         EntryServices services =
@@ -100,6 +102,14 @@
         assertEquals(mWritten, List.of("start 500", "part 0", "part 70000", "last 5"));
     }
 
+    /** Guards against two executions at one backend server, of which one hides the other. */
+    @Test
+    public void should_not_start_an_attempt_at_a_server_that_executes_the_request() {
+        advance(OBJECTIVE_MILLIS);
+        send(0, new ResponseEvent.OutcomeUnknown("cut", LoadReport.UNKNOWN));
+        assertEquals(mEndpoints, List.of("orders-0", "orders-1", "orders-2"));
+    }
+
     private void failFirstAttempt() {
         send(0, head(500), body(new byte[1], true));
         assertEquals(mAttempts.size(), 2, "the failure is retried");
@@ -170,6 +180,7 @@
         @Override
         public Exchange submit(long session, ExecutionRequest request, ResponseListener listener) {
             mAttempts.add(listener);
+            mEndpoints.add(request.endpoint().backendServer());
             return new Exchange() {
                 @Override
                 public void grantCredit(int bytes) {}
