Offer no connection to the next request that a long refusal closes

What callers saw: nothing was reported; found by reading. An order could end with an unknown outcome because of the refusal of the request before it.

Cause: a refusal (X-Not-Executed, 421) with a body of more than 64 KiB ends the request and closes the connection, in this order. The event that ends the request releases the connection and, when others wait, sends the next one on it; the close then ends that one too.

Ruled out: bytes of the refusal in the next response. The connection is closed before more of it is read.

Change: the connection counts as not reusable before the event.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -292,6 +292,10 @@
         if (!last && !tooLong) {
             return;
         }
+        if (tooLong) {
+            // Before the event, whose receiver may release this connection to the next request.
+            mReusable = false;
+        }
         ResponseKind kind = mResponseKind;
         mResponseKind = ResponseKind.ANSWER;
         if (kind != ResponseKind.OTHER_REQUEST) {
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -271,6 +271,18 @@
         assertFalse(mChannel.isOpen());
     }
 
+    /** Guards against a next request that is sent on a connection that closes then. */
+    @Test
+    public void should_not_offer_a_connection_with_a_refusal_that_is_too_long() {
+        mDialect.mKinds.add(ResponseKind.NOT_EXECUTED);
+        List<Boolean> reusable = new ArrayList<>();
+        mConnection.send(
+                request("POST", "first"), 1_000, end -> reusable.add(mConnection.isReusable()));
+        receive("HTTP/1.1 503 Busy\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(100_000));
+        assertEquals(reusable, List.of(false));
+        assertFalse(mChannel.isOpen());
+    }
+
     @Test
     public void should_stop_reading_an_extra_response_without_end() {
         mDialect.mKinds.add(ResponseKind.OTHER_REQUEST);
@@ -306,11 +318,15 @@
         mChannel.runPendingTasks();
         mChannel.releaseOutbound();
         if (!response.isEmpty()) {
-            mChannel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII));
+            receive(response);
         }
         return events;
     }
 
+    private void receive(String bytes) {
+        mChannel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+    }
+
     private static ExecutionRequest request(String method, String name) {
         return new ExecutionRequest(
                 new RequestId("a", 9, 16),
