Read on while a connection to a backend server is idle

What callers saw: nothing was reported; found by reading. An order could end with an unknown outcome on a connection that the backend server had closed before the order was sent.

Cause: reading stops when the caller is slow. When the rest of the response was already read, the connection became idle with reading stopped, and only the next request resumed it. Until then neither a close nor a late copy of the response was detected; both hit the next request.

Ruled out: a copy that is taken for the next response; it has another id.

Change: a connection reads on as soon as it is idle.

Evidence: BackendResponseTest#should_read_while_it_is_idle failed before (expected [true] but found [false]) and passes now, with Backend*Test (mvn verify -pl kernel,daemon -am -Dtest='Backend*Test').

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -110,6 +110,9 @@
 
     void markIdle(long nowNanos) {
         mIdleSinceNanos = nowNanos;
+        // The last part of the response may have stopped reading for lack of credit. A close or an
+        // extra response must be detected before the next request is sent.
+        setReading(true);
     }
 
     /**
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -271,6 +271,16 @@
         assertFalse(mChannel.isOpen());
     }
 
+    /** Guards against a close or a late copy that is detected only with the next request. */
+    @Test
+    public void should_read_while_it_is_idle() {
+        exchange("GET", "first", LENGTH);
+        // The state after a response whose last part arrived right after reading was stopped.
+        mConnection.setReading(false);
+        mConnection.markIdle(0);
+        assertTrue(mChannel.config().isAutoRead());
+    }
+
     /** Guards against a next request that is sent on a connection that closes then. */
     @Test
     public void should_not_offer_a_connection_with_a_refusal_that_is_too_long() {
