Send no request behind bytes that follow a response

What callers saw: nothing was reported; found by reading. A request failed because the backend server had written additional bytes after the response before it: an order had an unknown outcome. Without a platform, where responses have no names, a copy in the same read as the first response was taken for the response to the next request.

Cause: the end of a response released its connection, and the next request could be sent on it, while bytes behind the response were already received. The same held for bytes that arrived on an idle connection and were no complete head: they were joined with the head of the next response.

Ruled out on the platform: a copy that is taken for the next response (it has another id), and a joined head that passes for one response (isJoined, or the decoder fails).

Change: a connection with bytes behind a response is not reused, and an idle one closes at its first byte. The decoder that knows about such bytes takes the method from the request in progress; the codec of Netty took it from a queue that an extra response shifts. BACKEND_RESPONSE_DROPPED has kind=BYTES for bytes that are no complete head. A copy that arrives while the next request is in progress cannot be told apart without names; that remains so without a platform.

Evidence: BackendResponseTest#should_not_offer_a_connection_with_bytes_behind_the_response (5 of 5 cases) and #should_close_when_bytes_arrive_while_it_is_idle (3 of 5) failed with hasMoreBytes() returning false. They pass now, with Backend*Test, Caller*Test, EventsPageTest, PlatformPathTest and PlatformHeadersTest (mvn verify -pl kernel,daemon,platform,testbed -am with these tests).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -41,6 +43,7 @@
     private final RequestDialect mDialect;
     private final long mNumber;
     private final DroppedResponseLog mDroppedResponses;
+    private final BackendResponseDecoder mDecoder = new BackendResponseDecoder();
     private EndpointId mEndpoint;
     private List<HeaderField> mRequestHeaders = List.of();
     private ResponseKind mResponseKind = ResponseKind.ANSWER;
@@ -70,6 +73,11 @@
         mDroppedResponses = droppedResponses;
     }
 
+    /** Returns the handlers of the connection, from its bytes to this object. Call it once. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {mDecoder, new HttpRequestEncoder(), this};
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
@@ -130,6 +138,7 @@
         mInterim = false;
         mInterimResponses = 0;
         mHeadRequest = request.method().equals("HEAD");
+        mDecoder.setHeadRequest(mHeadRequest);
         // The last part of the previous response may have stopped reading for lack of credit.
         setReading(true);
         FullHttpRequest message =
@@ -311,6 +320,10 @@
 
     /** Emits the event that ends the request in progress, if there is one. */
     private void emitLast(BackendEvent event) {
+        if (mDecoder.hasMoreBytes()) {
+            // They were sent before the next request and are no response to it.
+            mReusable = false;
+        }
         Consumer<BackendEvent> listener = mListener;
         mListener = null;
         if (listener != null) {
@@ -330,6 +343,15 @@
         mChannel.close();
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mListener == null && mDecoder.hasMoreBytes()) {
+            // The start of an extra response would be joined with the next response.
+            mDroppedResponses.logBytes(mEndpoint, mNumber, mSentRequests);
+            abort();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         fail("the backend server closed the connection before the response was complete");
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnectionPool.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnectionPool.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -31,7 +29,6 @@
             new LogRateLimiter(REPETITION_LINES_PER_SECOND);
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final int MAXIMUM_IDLE_CONNECTIONS = 64;
-    private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
     private static final long IDLE_LIMIT_NANOS = Duration.ofSeconds(30).toNanos();
     // A backend server may close an idle connection while a request is being written. The outcome
     // of a non-idempotent request is then unknown, whereas a new connection costs about 1 ms.
@@ -79,7 +76,7 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        channel.pipeline().addLast(newCodec(), connection);
+                                        channel.pipeline().addLast(connection.handlers());
                                     }
                                 })
                         .connect(mAddress);
@@ -97,15 +94,6 @@
                 });
     }
 
-    /** Creates the codec of one connection, which bounds the size of a response head. */
-    static HttpClientCodec newCodec() {
-        HttpDecoderConfig decoder =
-                new HttpDecoderConfig()
-                        .setMaxInitialLineLength(MAXIMUM_HEAD_BYTES)
-                        .setMaxHeaderSize(MAXIMUM_HEAD_BYTES);
-        return new HttpClientCodec(decoder, false, true);
-    }
-
     /**
      * Returns a connection to the pool, or closes it when it is not reusable or the pool is full.
      */
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/DroppedResponseLog.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/DroppedResponseLog.java
@@ -40,13 +40,8 @@
             String request,
             String kind,
             HttpResponse response) {
-        long leftOut = LINE_LIMIT.tryAcquire(mClock.nanoTime());
-        if (leftOut == LogRateLimiter.SUPPRESSED) {
-            return;
-        }
         Optional<String> seal = mDialect.sealField().map(name -> response.headers().get(name));
-        LOGGER.log(
-                Event.BACKEND_RESPONSE_DROPPED,
+        write(
                 endpoint,
                 connection,
                 sending,
@@ -54,7 +49,43 @@
                 kind,
                 response.status().code(),
                 mDialect.requestName(name -> response.headers().get(name)),
-                seal.orElse(""),
-                leftOut);
+                seal.orElse(""));
+    }
+
+    /**
+     * Logs bytes that are no complete head and arrived while no request was in progress, unless the
+     * limit of lines is reached.
+     *
+     * @param endpoint endpoint that the connection leads to
+     * @param connection number of the connection
+     * @param sending number of requests that were sent on the connection
+     */
+    void logBytes(EndpointId endpoint, long connection, int sending) {
+        write(endpoint, connection, sending, "", "BYTES", 0, "", "");
+    }
+
+    private void write(
+            EndpointId endpoint,
+            long connection,
+            int sending,
+            String request,
+            String kind,
+            int status,
+            String answers,
+            String seal) {
+        long leftOut = LINE_LIMIT.tryAcquire(mClock.nanoTime());
+        if (leftOut != LogRateLimiter.SUPPRESSED) {
+            LOGGER.log(
+                    Event.BACKEND_RESPONSE_DROPPED,
+                    endpoint,
+                    connection,
+                    sending,
+                    request,
+                    kind,
+                    status,
+                    answers,
+                    seal,
+                    leftOut);
+        }
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -56,7 +56,7 @@
         mConnection =
                 new BackendConnection(
                         mDialect, 1, new DroppedResponseLog(new ManualClock(), mDialect));
-        mChannel = new EmbeddedChannel(BackendConnectionPool.newCodec(), mConnection);
+        mChannel = new EmbeddedChannel(mConnection.handlers());
     }
 
     @AfterMethod
@@ -281,6 +281,50 @@
         assertTrue(mChannel.config().isAutoRead());
     }
 
+    @DataProvider
+    public Object[][] extraBytes() {
+        String copy = "HTTP/1.1 200 OK\r\nX-Name: first\r\nContent-Length: 4\r\n\r\nbody";
+        return new Object[][] {{copy}, {copy + copy}, {copy.substring(0, 20)}, {"H"}, {"\r\nx"}};
+    }
+
+    /** Guards against a request that is sent behind bytes that cannot be its response. */
+    @Test(dataProvider = "extraBytes")
+    public void should_not_offer_a_connection_with_bytes_behind_the_response(String extra) {
+        List<Boolean> reusable = new ArrayList<>();
+        mConnection.send(
+                request("GET", "first"),
+                1_000,
+                event -> {
+                    if (isEnd(event)) {
+                        reusable.add(mConnection.isReusable());
+                    }
+                });
+        receive(LENGTH + extra);
+        assertEquals(reusable, List.of(false));
+    }
+
+    @Test(dataProvider = "extraBytes")
+    public void should_close_when_bytes_arrive_while_it_is_idle(String extra) {
+        exchange("GET", "first", LENGTH);
+        assertTrue(mConnection.isReusable());
+        receive(extra);
+        assertFalse(mChannel.isOpen());
+    }
+
+    /** Guards against a method of an earlier request that decides whether a response has a body. */
+    @Test
+    public void should_end_responses_to_get_and_head_in_turn() {
+        String head = "HTTP/1.1 200 OK\r\nX-Name: first\r\nContent-Length: 4\r\n\r\n";
+        exchange("HEAD", "first", head);
+        List<BackendEvent> events = exchange("GET", "second", HINTS + LENGTH);
+        assertTrue(
+                events.getLast() instanceof BackendEvent.Body(byte[] data, boolean last) && last);
+        events = exchange("HEAD", "third", HINTS + head);
+        assertTrue(
+                events.getLast() instanceof BackendEvent.Body(byte[] data, boolean last) && last);
+        assertTrue(mConnection.isReusable());
+    }
+
     /** Guards against a next request that is sent on a connection that closes then. */
     @Test
     public void should_not_offer_a_connection_with_a_refusal_that_is_too_long() {
