--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -434,10 +434,6 @@
         return events;
     }
 
-    private void receive(String bytes) {
-        mChannel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
-    }
-
     private static ExecutionRequest request(String method, String name) {
         return new ExecutionRequest(
                 new RequestId("a", 9, 16),
