Limit the bytes of a backend server that belong to no body

What callers saw: a request to a faulty backend server waited until its deadline while the node read at full speed what the server sent; an idle connection was read without any end. The processor time was missing for the other callers of the node.

Cause: the HTTP codec bounds one line, one head and the trailers, not their number. Empty lines before a head, extensions of chunks with one byte each, and complete responses to other requests, one after another, were read for as long as they came. The credit of the caller counts bytes of a body only, and the bound of a skipped body held for each response anew.

Change: ReceivedBytesLimit counts what a connection receives in front of the codec. 256 KiB beside the body are allowed per request, and 16 bytes more for each byte of the body. Past that the connection closes.

Why this works: every form of such bytes passes the handler, whatever the codec makes of them, and only a body that the caller takes allows more.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -22,6 +22,7 @@
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.daemon.internal.exchange.HttpHeaderFields;
+import org.arbutuslock.daemon.internal.http.ReceivedBytesLimit;
 import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.dialect.ResponseKind;
 import org.arbutuslock.internal.messages.HeaderField;
@@ -34,6 +35,9 @@
     private static final int MAXIMUM_SENT_NAMES = 1_024;
     private static final int MAXIMUM_INTERIM_RESPONSES = 32;
     private static final int MAXIMUM_SKIPPED_BYTES = 64 * 1024;
+    private static final int MAXIMUM_BYTES_OUTSIDE_BODIES = 256 * 1024;
+    // A body that comes in chunks of one byte has five bytes beside each byte of the body.
+    private static final int ALLOWED_BYTES_PER_BODY_BYTE = 16;
     private static final int SWITCHING_PROTOCOLS = 101;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int LAST_STATUS = 999;
@@ -41,6 +45,8 @@
     private final RequestDialect mDialect;
     private final long mNumber;
     private final DroppedResponseLog mDroppedResponses;
+    private final ReceivedBytesLimit mReceivedBytesLimit =
+            new ReceivedBytesLimit(MAXIMUM_BYTES_OUTSIDE_BODIES);
     private EndpointId mEndpoint;
     private List<HeaderField> mRequestHeaders = List.of();
     private ResponseKind mResponseKind = ResponseKind.ANSWER;
@@ -73,6 +79,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
+        mChannel.pipeline().addFirst(mReceivedBytesLimit);
     }
 
     long number() {
@@ -126,6 +133,7 @@
         mSentRequests++;
         mInterim = false;
         mInterimResponses = 0;
+        mReceivedBytesLimit.reset();
         mHeadRequest = request.method().equals("HEAD");
         // The last part of the previous response may have stopped reading for lack of credit.
         setReading(true);
@@ -269,6 +277,8 @@
         if (!last && !content.content().isReadable()) {
             return;
         }
+        mReceivedBytesLimit.allow(
+                (long) ALLOWED_BYTES_PER_BODY_BYTE * content.content().readableBytes());
         BackendEvent body = new BackendEvent.Body(ByteBufUtil.getBytes(content.content()), last);
         if (last) {
             emitLast(body);
