Close connections for announcements whose requests do not end

What callers saw: a backend server that sent its announcement, or a request to the metrics address, with a body without end was read at full speed for as long as it sent. The processor time was missing for the other callers of the node.

Cause: the aggregator of the codec keeps a connection open after 413 if the head announced the length, and discards the rest of the body without a limit. A body in chunks of one byte with long extensions is below the limit of the aggregator for a thousand times its size.

Change: a connection may receive 256 KiB without a complete request, then it closes.

Why this works: only a complete request allows more bytes.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/http/ReceivedBytesLimit.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/http/ReceivedBytesLimit.java
@@ -53,7 +53,7 @@
         if (mBytesLeft < 0 && context.channel().isActive()) {
             context.fireExceptionCaught(
                     new TooLongFrameException(
-                            "more than " + mMaximumBytes + " bytes that belong to no body"));
+                            "more than " + mMaximumBytes + " bytes that complete no message"));
         }
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/http/SmallHttpServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/http/SmallHttpServer.java
@@ -36,6 +36,8 @@
 public final class SmallHttpServer {
     private static final EventLogger LOGGER = EventLogger.forComponent("http");
     private static final int MAXIMUM_BODY_BYTES = 64 * 1024;
+    // Leaves room for the head and for a body in small chunks.
+    private static final int MAXIMUM_REQUEST_BYTES = 4 * MAXIMUM_BODY_BYTES;
 
     private final Channel mListener;
     private final String mPurpose;
@@ -66,12 +68,15 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
+                                        ReceivedBytesLimit limit =
+                                                new ReceivedBytesLimit(MAXIMUM_REQUEST_BYTES);
                                         channel.pipeline()
                                                 .addLast(
+                                                        limit,
                                                         new HttpServerCodec(),
                                                         new HttpObjectAggregator(
                                                                 MAXIMUM_BODY_BYTES),
-                                                        new Handler());
+                                                        new Handler(limit));
                                     }
                                 })
                         .bind(address)
@@ -112,8 +117,15 @@
     }
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final ReceivedBytesLimit mReceivedBytesLimit;
+
+        private Handler(ReceivedBytesLimit receivedBytesLimit) {
+            mReceivedBytesLimit = receivedBytesLimit;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            mReceivedBytesLimit.reset();
             boolean malformed = request.decoderResult().isFailure();
             boolean keepAlive = !malformed && HttpUtil.isKeepAlive(request);
             FullHttpResponse response =
