Break off a response that nobody reads after 1 MiB

What callers saw: a backend server that answered an order with a body without end was read at full speed for up to 30 s after the caller had left or its deadline had passed; a probe was read so for 2 s. The processor time was missing for the other callers of the node.

Cause: an order is not aborted when it is cancelled, so that its outcome can be queried later. Its response then has no reader whose credit bounds what is read; the response of a probe never has one.

Ruled out: memory. The bytes were dropped as they came; up to 64 KiB of an order's response were kept and dropped past that.

Change: HomeExchange counts the bytes of a response without a reader and closes the connection past 1 MiB. The outcome of the order is unknown then, that of a probe is a failure. The observation of a cancelled order is withdrawn as before, and the line BACKEND_REQUEST_FAILED names the bound.

Why this works: every response is either limited by credit or by this bound.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -40,6 +40,8 @@
     private static final LogRateLimiter ANSWER_LINE_LIMIT =
             new LogRateLimiter(ANSWER_LINES_PER_SECOND);
     private static final int MAXIMUM_KEPT_BODY_BYTES = 64 * 1024;
+    // A body without a reader may have no end; reading it takes time from other requests.
+    private static final int MAXIMUM_UNREAD_BODY_BYTES = 1024 * 1024;
     private static final int SHED_STATUS = 503;
     private static final int FIRST_SERVER_ERROR = 500;
     // Time that a non-idempotent request may run past its deadline. Aborting it at the deadline
@@ -63,6 +65,7 @@
     private Optional<RequestObservation> mObservation = Optional.empty();
     private Future<?> mStallCheck;
     private long mCredit = INITIAL_CREDIT_BYTES;
+    private long mUnreadBytes;
     private boolean mCancelled;
     private boolean mDone;
     private int mStatus;
@@ -174,11 +177,17 @@
     private void handleBody(byte[] data, boolean last) {
         keepBody(data);
         recordProgress();
-        // The response of a probe has no reader that would grant credit for it.
-        mCredit -= mTrafficClass == TrafficClass.PROBE ? 0 : data.length;
+        if (hasReader()) {
+            mCredit -= data.length;
+        } else {
+            mUnreadBytes += data.length;
+        }
         if (last) {
             complete();
-        } else if (mCredit <= 0 && !mCancelled) {
+        } else if (mUnreadBytes > MAXIMUM_UNREAD_BODY_BYTES) {
+            breakOffUnread();
+            return;
+        } else if (mCredit <= 0 && hasReader()) {
             mConnection.setReading(false);
             mObservation.ifPresent(RequestObservation::recordSlowCaller);
         }
@@ -187,6 +196,24 @@
         emit(new ResponseEvent.Body(data, last));
     }
 
+    /** Returns whether somebody gets the response and grants credit for it. */
+    private boolean hasReader() {
+        return !mCancelled && mTrafficClass != TrafficClass.PROBE;
+    }
+
+    /** Closes the connection in the middle of a response that nobody gets. */
+    private void breakOffUnread() {
+        String reason = "more than " + MAXIMUM_UNREAD_BODY_BYTES + " bytes that nobody reads";
+        if (mCancelled) {
+            // A cancellation is no evidence about the health of the backend server.
+            mObservation.ifPresent(RequestObservation::withdraw);
+            logFailure(reason, Outcome.TRUNCATED);
+            failDispatched(reason, Outcome.OK);
+        } else {
+            failDispatched(reason, Outcome.TRUNCATED);
+        }
+    }
+
     private void keepBody(byte[] data) {
         if (mKeptBody == null) {
             return;
