Answer an order at once when its replaced response has no end

What callers saw: an order whose backend server answered 503 (or 408, 421, 429) behind the work, with a body without end, was answered with 502 only at its deadline. The node read and dropped the body at full speed meanwhile.

Cause: ResponseBuffer drops the body of a response that must not reach the caller, and the attempt grants credit for every dropped byte.

Ruled out: other responses; past 64 KiB they go to the caller and are read as fast as it takes them.

Change: past 64 KiB of a dropped body the attempt is cancelled and the caller gets its response.

Why this works: the rest of the body changes nothing in what the caller gets.

Evidence: CallerRequestTest#should_not_read_a_promise_without_end_for_an_order_that_ran before: "expected [502] but found [0]"; now CallerRequestTest, CallerHttpTest, CallerConnectionTest and UnreadResponseTest: 30 run, 0 failures (mvn -o verify -pl daemon -am -Dtest=...).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -443,7 +443,10 @@
         /** Buffers a small response, so that nothing is sent before it is complete. */
         private void bufferBody(byte[] data, boolean last) {
             mBuffer.append(data);
-            if (last && shouldRetryFailure()) {
+            if (!last && mBuffer.hasDroppedLongBody()) {
+                cancel();
+                sendBuffered();
+            } else if (last && shouldRetryFailure()) {
                 end(AttemptResult.REFUSED);
                 acknowledge();
                 mFallback = Optional.of(this);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ResponseBuffer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ResponseBuffer.java
@@ -16,6 +16,7 @@
 
     private final boolean mRepeatable;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private long mDroppedBytes;
     private int mStatus;
     private List<HeaderField> mHeaders = List.of();
 
@@ -59,11 +60,21 @@
     }
 
     void append(byte[] data) {
-        if (!isReplaced()) {
+        if (isReplaced()) {
+            mDroppedBytes += data.length;
+        } else {
             mBody.writeBytes(data);
         }
     }
 
+    /**
+     * Returns whether the body of a response that must not reach the caller is longer than a
+     * response that is buffered. It may have no end, and its rest changes nothing for the caller.
+     */
+    boolean hasDroppedLongBody() {
+        return mDroppedBytes > MAXIMUM_BYTES;
+    }
+
     byte[] body() {
         return mBody.toByteArray();
     }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerRequestTest.java
@@ -1,6 +1,7 @@
 package org.arbutuslock.daemon.internal.callers;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
@@ -132,6 +133,21 @@
         assertEquals(mResponseWriter.mStatus, 502);
     }
 
+    /** Guards against a body that is read until the deadline although the caller never gets it. */
+    @Test
+    public void should_not_read_a_promise_without_end_for_an_order_that_ran() {
+        mHomeNode.mStatus = 503;
+        mHomeNode.mBody = new byte[16 * 1024];
+        mHomeNode.mEndless = true;
+        start();
+        for (int part = 0; part < 100 && !mHomeNode.mCancelled; part++) {
+            mHomeNode.mListener.handle(new ResponseEvent.Body(mHomeNode.mBody, false));
+            mChannel.runPendingTasks();
+        }
+        assertEquals(mResponseWriter.mStatus, 502);
+        assertTrue(mHomeNode.mCancelled);
+    }
+
     private void start() {
         EntryServices services =
                 new EntryServices(
@@ -186,6 +202,9 @@
         private boolean mLosing;
         private int mStatus;
         private byte[] mBody = new byte[1];
+        private boolean mEndless;
+        private boolean mCancelled;
+        private ResponseListener mListener;
         private Duration mDecisionTime = Duration.ZERO;
         private int mSubmissions;
 
@@ -203,8 +222,9 @@
             mClock.advance(mDecisionTime);
             if (mStatus != 0) {
                 listener.handle(new ResponseEvent.Head(mStatus, List.of(SEAL), LoadReport.UNKNOWN));
-                listener.handle(new ResponseEvent.Body(mBody, true));
-                return FINISHED;
+                listener.handle(new ResponseEvent.Body(mBody, !mEndless));
+                mListener = listener;
+                return mEndless ? new EndlessExchange() : FINISHED;
             }
             listener.handle(
                     mLosing
@@ -221,6 +241,16 @@
 
         @Override
         public void acknowledge(RequestId id) {}
+
+        private final class EndlessExchange implements Exchange {
+            @Override
+            public void grantCredit(int bytes) {}
+
+            @Override
+            public void cancel() {
+                mCancelled = true;
+            }
+        }
     }
 
     /** Chooses no endpoint for the given number of calls, then a new one of this node each time. */
