Limit the requests of a node that are in progress before their turn

What callers saw: a node ran out of memory, and the requests of all its callers ended with it. Seen with the node of the build (-Xmx160m), 24 endless endpoints with 50 slots each and 100 callers that send 16 requests ahead and read nothing: "OutOfMemoryError: Java heap space" in two threads, and 8 callers of a sound service on the same node got 8 answers in 20 s and 55 times none.

Cause: a response that waits behind another on its connection may hold its initial credit (256 KiB) and what was buffered before (64 KiB). The bound per connection stops further credit only; nothing bounded the sum over all connections.

Ruled out: callers that read nothing of the response whose turn it is; 600 of them made 244 MB of resident memory, without an error. A smaller initial credit: it is also the window of a download between regions.

Change: at most 192 requests of a node are in progress before it is their turn; another one waits for its turn, which always comes. ResponseBuffer frees its body when it goes to the connection.

Why this works: 192 requests hold at most 60 MiB, whatever their callers read, and a limit at the start needs no estimate of what is on its way.

Evidence: RequestPipelineTest with a limit that never binds: 6 run, 1 failure ("Lists differ at element [2]"); now RequestPipelineTest, Caller*Test, HeadTimeoutTest and UnreadResponseTest: 39 run, 0 failures (mvn -o verify -pl daemon -am -Dtest=...).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -47,7 +47,8 @@
                         MAXIMUM_REQUESTS_IN_PROGRESS,
                         MAXIMUM_WAITING_REQUESTS,
                         maximumBodyBytes,
-                        mHeldBytes);
+                        mHeldBytes,
+                        server.overtakingLimit());
     }
 
     @Override
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -432,7 +432,7 @@
                 bufferBody(data, last);
             } else {
                 mResponse.start(mId, mBuffer.status(), mBuffer.headers());
-                sendPart(mBuffer.body(), false);
+                sendPart(mBuffer.takeBody(), false);
                 sendPart(data, last);
             }
             if (last && !mDone && !mClosed) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -26,10 +26,15 @@
 public final class CallerServer {
     private static final EventLogger LOGGER = EventLogger.forComponent("callers");
 
+    // Each one may hold up to 320 KiB: its initial credit and what was buffered before it.
+    private static final int MAXIMUM_OVERTAKING_REQUESTS = 192;
+
     private final Channel mListener;
     private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger mActiveRequests = new AtomicInteger();
     private final AtomicLong mLastSequence = new AtomicLong();
+    private final OvertakingLimit mOvertakingLimit =
+            new OvertakingLimit(MAXIMUM_OVERTAKING_REQUESTS);
     private final EntryServices mServices;
     private final RequestPreparer mPreparer;
     private volatile boolean mDraining;
@@ -177,6 +182,11 @@
         mConnections.close().awaitUninterruptibly();
     }
 
+    /** Returns the limit that all connections share. */
+    OvertakingLimit overtakingLimit() {
+        return mOvertakingLimit;
+    }
+
     RequestPreparer preparer() {
         return mPreparer;
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RequestPipeline.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RequestPipeline.java
@@ -25,6 +25,7 @@
     private final int mMaximumWaiting;
     private final long mMaximumWaitingBytes;
     private final HeldBytes mHeldResponses;
+    private final OvertakingLimit mOvertakingLimit;
     private final Deque<Entry<R>> mEntries = new ArrayDeque<>();
     private int mStarted;
     private long mWaitingBytes;
@@ -41,16 +42,19 @@
      *     false, in bytes
      * @param heldResponses responses that wait for their turn; no request starts before its turn
      *     while they have reached their limit
+     * @param overtakingLimit limits the requests of all connections that start before their turn
      */
     RequestPipeline(
             int maximumInProgress,
             int maximumWaiting,
             long maximumWaitingBytes,
-            HeldBytes heldResponses) {
+            HeldBytes heldResponses,
+            OvertakingLimit overtakingLimit) {
         mMaximumInProgress = maximumInProgress;
         mMaximumWaiting = maximumWaiting;
         mMaximumWaitingBytes = maximumWaitingBytes;
         mHeldResponses = heldResponses;
+        mOvertakingLimit = overtakingLimit;
     }
 
     /** Adds a request that was read completely. Discards it when the pipeline is closed. */
@@ -104,6 +108,7 @@
     private void remove(Entry<R> entry) {
         if (entry.mStarted) {
             mStarted--;
+            endOvertaking(entry);
             entry.mRequest.cancel();
         } else {
             mWaitingBytes -= entry.mRequest.bytes();
@@ -160,6 +165,7 @@
         }
         if (!first.mHasTurn) {
             first.mHasTurn = true;
+            endOvertaking(first);
             first.mRequest.takeTurn();
             return true;
         }
@@ -188,11 +194,24 @@
         return Optional.empty();
     }
 
-    /** Returns whether a request may start while earlier ones are in progress. */
+    /** Returns whether a request may start while earlier ones are in progress; it then does. */
     private boolean mayOvertake(Entry<R> entry) {
         return mStarted < mMaximumInProgress
                 && !mHeldResponses.isFull()
-                && entry.mRequest.isRepeatable();
+                && entry.mRequest.isRepeatable()
+                && startOvertaking(entry);
+    }
+
+    private boolean startOvertaking(Entry<R> entry) {
+        entry.mOvertaking = mOvertakingLimit.tryAcquire();
+        return entry.mOvertaking;
+    }
+
+    private void endOvertaking(Entry<R> entry) {
+        if (entry.mOvertaking) {
+            entry.mOvertaking = false;
+            mOvertakingLimit.release();
+        }
     }
 
     /** A request of the connection. Exactly one of finish, cancel and discard ends it. */
@@ -223,6 +242,7 @@
         private final R mRequest;
         private boolean mStarted;
         private boolean mHasTurn;
+        private boolean mOvertaking;
 
         private Entry(R request) {
             mRequest = request;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ResponseBuffer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ResponseBuffer.java
@@ -15,7 +15,7 @@
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final boolean mRepeatable;
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private long mDroppedBytes;
     private int mStatus;
     private List<HeaderField> mHeaders = List.of();
@@ -75,15 +75,18 @@
         return mDroppedBytes > MAXIMUM_BYTES;
     }
 
-    byte[] body() {
-        return mBody.toByteArray();
+    /** Returns the buffered part of the body and frees its memory. */
+    byte[] takeBody() {
+        byte[] body = mBody.toByteArray();
+        mBody = new ByteArrayOutputStream();
+        return body;
     }
 
     /**
      * Returns the response as it was received; the body is empty if it must not reach the caller.
      */
     BufferedResponse toResponse() {
-        return new BufferedResponse(mStatus, mHeaders, body());
+        return new BufferedResponse(mStatus, mHeaders, mBody.toByteArray());
     }
 
     private boolean isReplaced() {
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/RequestPipelineTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/RequestPipelineTest.java
@@ -22,11 +22,13 @@
     private static final int STEPS = 60;
     private static final int MAXIMUM_IN_PROGRESS = 4;
     private static final int MAXIMUM_HELD_BYTES = 500;
+    private static final int MAXIMUM_OVERTAKING = 2;
     private static final int PART_BYTES = 100;
 
     private final List<SimulatedRequest> mAll = new ArrayList<>();
     private final List<SimulatedRequest> mFinished = new ArrayList<>();
     private HeldBytes mHeldBytes;
+    private OvertakingLimit mOvertakingLimit;
     private RequestPipeline<SimulatedRequest> mPipeline;
     private boolean mClosed;
 
@@ -36,6 +38,9 @@
         for (int run = 0; run < RUNS; run++) {
             Random random = new Random(SEED + run);
             startRun();
+            if (run % 2 == 0) {
+                startRun(new OvertakingLimit(MAXIMUM_OVERTAKING));
+            }
             for (int step = 0; step < STEPS; step++) {
                 doStep(random);
                 checkBounds();
@@ -60,6 +65,24 @@
         assertEquals(mFinished, mAll.subList(0, 2));
     }
 
+    /** Guards against memory that grows with the connections whose callers send ahead. */
+    @Test
+    public void should_start_followers_within_the_limit_of_all_connections() {
+        startRun();
+        startRun(new OvertakingLimit(MAXIMUM_OVERTAKING));
+        mOvertakingLimit.tryAcquire();
+        for (int request = 0; request < 4; request++) {
+            add(true);
+        }
+        List<Boolean> started = mAll.stream().map(request -> request.mStarted).toList();
+        assertEquals(started, List.of(true, true, false, false));
+        mAll.get(0).mWriter.sendComplete(response());
+        assertTrue(mAll.get(2).mStarted, "the second request has its turn");
+        assertFalse(mAll.get(3).mStarted);
+        mPipeline.close();
+        assertEquals(mOvertakingLimit.used(), 1, "the one of another connection");
+    }
+
     @Test
     public void should_start_an_order_alone() {
         startRun();
@@ -110,7 +133,13 @@
         mFinished.clear();
         mClosed = false;
         mHeldBytes = new HeldBytes(MAXIMUM_HELD_BYTES);
-        mPipeline = new RequestPipeline<>(MAXIMUM_IN_PROGRESS, 8, 10_000, mHeldBytes);
+        startRun(new OvertakingLimit(MAXIMUM_IN_PROGRESS));
+    }
+
+    private void startRun(OvertakingLimit overtakingLimit) {
+        mOvertakingLimit = overtakingLimit;
+        mPipeline =
+                new RequestPipeline<>(MAXIMUM_IN_PROGRESS, 8, 10_000, mHeldBytes, mOvertakingLimit);
     }
 
     private void add(boolean repeatable) {
@@ -157,6 +186,7 @@
     private void checkEnds(long seed) {
         String run = "seed " + seed;
         assertEquals(mHeldBytes.bytes(), 0, run);
+        assertEquals(mOvertakingLimit.used(), 0, run);
         List<SimulatedRequest> expected = mAll.subList(0, mFinished.size());
         assertEquals(mFinished, expected, run);
         for (SimulatedRequest request : mAll) {
