--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -444,7 +444,7 @@
                 // theirs.
                 cancelOtherAttempts();
                 mResponse.start(mId, mBuffer.status(), mBuffer.headers());
-                sendPart(mBuffer.body(), false);
+                sendPart(mBuffer.takeBody(), false);
                 sendPart(data, last);
             }
             if (last && !mDone && !mClosed) {
@@ -455,7 +455,10 @@
         /** Buffers a small response, so that nothing is sent before it is complete. */
         private void bufferBody(byte[] data, boolean last) {
             mBuffer.append(data);
-            if (last && shouldRetryFailure()) {
+            if (!last && mBuffer.hasDroppedLongBody()) {
+                cancel();
+                sendBuffered();
+            } else if (last && shouldRetryFailure()) {
                 end(AttemptResult.REFUSED);
                 acknowledge();
                 mFallback = Optional.of(this);
