Count all limits of a shutdown from its start and bound its steps

Cause: the drain limit counted from the end of the notice period. Whatever delayed the notice moved the end: on a busy machine 5.62 to 5.90 s from NODE_DRAINING to DRAIN_LIMIT_REACHED instead of 5.6 s. The 0.4 s behind it had to hold the last responses, the stop of the plug-ins, the start of the shutdown hook and the end of the runtime; the last two alone took 0.21 s. The steps of the stop may wait 1 s for an operator's connection, 0.5 s for the leave and 2 s for the event loops, and closing a channel waits without a limit. A grace time below 2.9 s was shorter than notice and margin.

Ruled out: processor time of the stop itself (0.06 to 0.11 s of processor time behind 5.55 s in all of these stops).

The limits follow reloaded bounds.

--- a/daemon/src/main/java/org/arbutuslock/daemon/Main.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/Main.java
@@ -12,6 +12,8 @@
 import org.arbutuslock.api.PluginException;
 import org.arbutuslock.daemon.internal.node.Node;
 import org.arbutuslock.daemon.internal.node.SettingsReloader;
+import org.arbutuslock.daemon.internal.shutdown.BoundedShutdown;
+import org.arbutuslock.daemon.internal.shutdown.ShutdownPlan;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 import org.arbutuslock.internal.settings.LiveSettings;
@@ -81,7 +83,7 @@
         try {
             Node node = Node.start(live, Clock.system());
             Runtime.getRuntime()
-                    .addShutdownHook(new Thread(() -> shutDown(node, stopped), "shutdown"));
+                    .addShutdownHook(new Thread(() -> shutDown(node, live, stopped), "shutdown"));
         } catch (PluginException | RuntimeException failure) {
             // Netty throws an unchecked exception when a listener cannot be bound.
             LOGGER.log(Event.START_FAILED, failure.getMessage());
@@ -92,9 +94,14 @@
         }
     }
 
-    private static void shutDown(Node node, CountDownLatch stopped) {
-        node.drain();
-        node.stop();
+    private static void shutDown(Node node, LiveSettings live, CountDownLatch stopped) {
+        ShutdownPlan plan = ShutdownPlan.of(live.current());
+        BoundedShutdown.run(
+                () -> {
+                    node.drain();
+                    node.stop();
+                },
+                plan.stopLimit());
         stopped.countDown();
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallersPlugin.java
@@ -22,10 +22,12 @@
 import org.arbutuslock.daemon.internal.sessions.PeerLinks;
 import org.arbutuslock.daemon.internal.sessions.PeerServer;
 import org.arbutuslock.daemon.internal.sessions.SessionsPlugin;
+import org.arbutuslock.daemon.internal.shutdown.ShutdownPlan;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.selection.DistancePenalties;
 import org.arbutuslock.internal.selection.RegionLinkBudget;
+import org.arbutuslock.internal.settings.LiveSettings;
 import org.arbutuslock.internal.settings.NodeSettings;
 
 /** Provides the server for callers and shuts it down gracefully. */
@@ -101,23 +103,14 @@
                 new CallerServer(
                         context.require(EventLoopGroup.class), callers.address(), limits, services);
         context.provide(CallerServer.class, mServer);
+        LiveSettings live = context.require(LiveSettings.class);
         mShutdown =
                 new GracefulShutdown(
                         clock,
                         mServer,
                         home,
                         context.require(PeerServer.class),
-                        drainLimit(settings));
-    }
-
-    private static Duration drainLimit(NodeSettings settings) {
-        long stopMillis = (long) (settings.bounds().stopSeconds() * 1_000);
-        Duration untilStop =
-                Duration.ofMillis(stopMillis)
-                        .minus(GracefulShutdown.NOTICE_PERIOD)
-                        .minus(GracefulShutdown.STOP_MARGIN);
-        Duration configured = Duration.ofMillis((long) (settings.limits().drainSeconds() * 1_000));
-        return configured.compareTo(untilStop) < 0 ? configured : untilStop;
+                        () -> ShutdownPlan.of(live.current()));
     }
 
     private static RetryPolicy retryPolicy(
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/GracefulShutdown.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/GracefulShutdown.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.daemon.internal.home.HomeService;
 import org.arbutuslock.daemon.internal.sessions.PeerServer;
+import org.arbutuslock.daemon.internal.shutdown.ShutdownPlan;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 
@@ -13,28 +15,22 @@
  * waits until neither callers nor other nodes have requests in progress at this node. Answers the
  * requests that are unfinished at the time limit.
  *
- * @param clock clock of the time limit
+ * @param clock clock of the time limits
  * @param server server for the connections of callers
  * @param home home node service for the backend servers of this host
  * @param peers server for the sessions of other nodes
- * @param limit maximum wait for requests in progress after the notice period
+ * @param plan supplies the time limits at the start of the shutdown
  */
 record GracefulShutdown(
-        Clock clock, CallerServer server, HomeService home, PeerServer peers, Duration limit) {
-    /**
-     * Time for callers and other nodes to learn that this node is leaving. Must be less than 3 s,
-     * because a leaving server must get no new work after that time.
-     */
-    static final Duration NOTICE_PERIOD = Duration.ofMillis(2_500);
-
-    /** Time to send the remaining responses at the time limit and to stop the plug-ins. */
-    static final Duration STOP_MARGIN = Duration.ofMillis(400);
-
+        Clock clock,
+        CallerServer server,
+        HomeService home,
+        PeerServer peers,
+        Supplier<ShutdownPlan> plan) {
     private static final EventLogger LOGGER = EventLogger.forComponent("callers");
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
     // Covers requests and responses that are being handed over between event loops.
     private static final Duration QUIET_PERIOD = Duration.ofMillis(100);
-    // Half of the stop margin; the other half is for stopping the plug-ins.
     private static final Duration FINAL_RESPONSE_TIMEOUT = Duration.ofMillis(200);
 
     /**
@@ -42,17 +38,25 @@
      * the time limit.
      */
     void run() {
+        long startNanos = clock.nanoTime();
+        ShutdownPlan limits = plan.get();
         server.startDraining();
-        LockSupport.parkNanos(NOTICE_PERIOD.toNanos());
+        await(startNanos + limits.notice().toNanos());
         server.refuseRequests();
         home.drain();
         server.closeListener();
-        long limitNanos = clock.nanoTime() + limit.toNanos();
+        long limitNanos = startNanos + limits.drainLimit().toNanos();
         boolean finished = awaitNoRequests(limitNanos);
         // A request can arrive on an open connection until the connection is closed.
         server.closeIdleConnections();
         if (!finished || !awaitNoRequests(limitNanos)) {
-            answerUnfinished();
+            answerUnfinished(limits.drainLimit());
+        }
+    }
+
+    private void await(long endNanos) {
+        while (clock.nanoTime() - endNanos < 0) {
+            LockSupport.parkNanos(POLL_INTERVAL.toNanos());
         }
     }
 
@@ -60,7 +64,7 @@
      * Answers the unfinished requests. A caller whose connection is closed without a response does
      * not learn the outcome.
      */
-    private void answerUnfinished() {
+    private void answerUnfinished(Duration limit) {
         LOGGER.log(Event.DRAIN_LIMIT_REACHED, limit.toMillis() / 1_000.0, unfinishedRequests());
         home.abortRequests();
         server.abortRequests();
--- /dev/null
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/shutdown/package-info.java
@@ -0,0 +1,2 @@
+/** Time budget of a graceful shutdown. */
+package org.arbutuslock.daemon.internal.shutdown;
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -29,6 +29,9 @@
     SETTINGS_REJECTED(1009, Level.WARNING, "settings of {0} not reloaded: {1}"),
     /** One run of a periodic task failed; the next one follows. */
     REPEATED_TASK_FAILED(1010, Level.ERROR, "run of {0} failed: {1}"),
+    /** A step of the shutdown did not end in time; the process ends without the rest. */
+    STOP_LIMIT_REACHED(
+            1011, Level.WARNING, "shutdown not finished after {0} s: {1} has not returned"),
     /** A caller sent a malformed request. */
     CALLER_REQUEST_MALFORMED(2001, Level.INFO, "malformed request from {0}: {1}"),
     /** A caller's connection failed. */
