Refuse requests that wait at another node when a shutdown reaches its limit

What callers saw: at the drain limit of a planned stop, 504 (outcome unknown) for requests that no backend server had got. An order is not repeated after that, and it counts as a request that was never offered to a backend server.

Cause: the entry node gives up an attempt that was submitted to another node as possibly executed. Whether it still waits in the admission queue there only the home node knows. The queue of the stopping node itself is refused at the end of the notice and was not affected.

Ruled out: a false promise (no request that was answered 503 had run in any of the stops), and requests cut without an answer.

Change: at the drain limit the entry node queries the outcome of its unfinished attempts once (AttemptWithdrawal) and starts no further ones. A home node refuses a queried request that it has not dispatched, so that "not run" stays true; the caller gets 503. After 0.1 s the rest is answered as before. The protocol does not change.

Evidence: PlatformPathTest#should_refuse_orders_that_wait_at_another_node_at_the_limit_of_a_shutdown failed without the query ("order-11 expected [503] but found [504]") and passes now with PlatformPathTest, GracefulShutdownTest, Caller*Test, Attempt*Test and EventsPageTest (mvn verify -pl kernel,daemon,platform -am).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/AttemptCounter.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/AttemptCounter.java
@@ -18,6 +18,7 @@
     private int mLostSessions;
     // Ended attempts that may have reached a backend server.
     private int mEndedExecutions;
+    private boolean mStopped;
 
     /**
      * Creates a counter without attempts.
@@ -37,7 +38,12 @@
 
     /** Returns whether another attempt may be started. */
     boolean mayStart() {
-        return mAttempts < mPolicy.maximumAttempts();
+        return !mStopped && mAttempts < mPolicy.maximumAttempts();
+    }
+
+    /** Allows no further attempts. */
+    void stop() {
+        mStopped = true;
     }
 
     /** Counts the start of an attempt and returns its number, from 0. */
@@ -57,7 +63,7 @@
 
     /** Returns whether one more attempt may reach a backend server. */
     boolean isExecutionLeft(int active) {
-        return mEndedExecutions + active < mMaximumExecutions;
+        return !mStopped && mEndedExecutions + active < mMaximumExecutions;
     }
 
     /** Returns whether the next attempt is the last one that may reach a backend server. */
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -98,6 +98,14 @@
         }
     }
 
+    /**
+     * Withdraws the requests that no backend server has got yet. Must be called on the event loop
+     * of the connection.
+     */
+    void withdrawRequests() {
+        mPipeline.started().forEach(ConnectionRequest::withdrawForShutdown);
+    }
+
     /**
      * Answers the requests in progress with their currently known outcomes. Must be called on the
      * event loop of the connection.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -91,6 +91,12 @@
         }
     }
 
+    /** Starts no further attempts and withdraws those that wait, because this node is stopping. */
+    void withdrawForShutdown() {
+        mCounter.stop();
+        mActiveAttempts.forEach(Attempt::withdraw);
+    }
+
     /** Answers the request with its currently known outcome because this node is stopping. */
     void abortForShutdown() {
         giveUp("the entry node is shutting down");
@@ -564,6 +570,10 @@
             return mRefusal.map(RefusalReason::name).orElse(result.name());
         }
 
+        private void withdraw() {
+            AttemptWithdrawal.send(mServices, mEventLoop, mId, submission(), this::handle);
+        }
+
         private void cancel() {
             if (!mClosed) {
                 end(AttemptResult.SERVER_FAILED);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -135,6 +135,11 @@
         mRefusing = true;
     }
 
+    /** Refuses the requests in progress that no backend server has got yet. */
+    public void withdrawRequests() {
+        forEachConnection(CallerConnection::withdrawRequests);
+    }
+
     /** Answers every request in progress with its currently known outcome. */
     public void abortRequests() {
         forEachConnection(CallerConnection::abortRequests);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ConnectionRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ConnectionRequest.java
@@ -124,6 +124,11 @@
         mResponseWriter.takeTurn();
     }
 
+    /** Withdraws the attempts that wait at a home node, because the node is stopping. */
+    void withdrawForShutdown() {
+        mCallerRequest.ifPresent(CallerRequest::withdrawForShutdown);
+    }
+
     /** Answers this request with its currently known outcome, because the node is stopping. */
     void abortForShutdown() {
         mCallerRequest.ifPresent(CallerRequest::abortForShutdown);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/GracefulShutdown.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/GracefulShutdown.java
@@ -31,6 +31,8 @@
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
     // Covers requests and responses that are being handed over between event loops.
     private static final Duration QUIET_PERIOD = Duration.ofMillis(100);
+    // Time of a round trip to the home nodes of the region.
+    private static final Duration WITHDRAWAL_TIMEOUT = Duration.ofMillis(100);
     private static final Duration FINAL_RESPONSE_TIMEOUT = Duration.ofMillis(200);
 
     /**
@@ -66,6 +68,8 @@
      */
     private void answerUnfinished(Duration limit) {
         LOGGER.log(Event.DRAIN_LIMIT_REACHED, limit.toMillis() / 1_000.0, unfinishedRequests());
+        server.withdrawRequests();
+        awaitNoRequests(clock.nanoTime() + WITHDRAWAL_TIMEOUT.toNanos());
         home.abortRequests();
         server.abortRequests();
         awaitNoRequests(clock.nanoTime() + FINAL_RESPONSE_TIMEOUT.toNanos());
