Read no request behind a response that a shutdown may break off

What callers saw: a request that was sent after the SIGTERM, behind a long response on the same connection, was taken and passed on to a backend server. When the long response did not end before the drain limit, it was broken off, and the request behind it was cut without an answer (LOST).

Cause: responses keep the order of the requests. A head that was written before the shutdown has not announced that the connection closes, so the node kept reading and starting requests behind it whose responses it can only write afterwards.

Ruled out: requests behind one whose response has not started: it is answered at the drain limit, and then those behind it.

Change: while the node shuts down, a connection whose response is started, not ended and without Connection: close is not read. The requests behind it stay in the connection; they are read and answered when the response ends in time, and otherwise the connection closes without having read them, after which a caller may repeat them. A caller that leaves meanwhile is noticed when a write fails. Requests that were read before the SIGTERM behind such a response can still be cut with it.

Evidence: PipeliningTest#should_read_no_request_behind_a_response_that_does_not_end failed without the condition ("expected [1] but found [2]") and passes now with the three tests beside it, which demand the answers behind a response that does end (mvn test -pl kernel,daemon,platform,testbed -am -Dtest=PipeliningTest).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerConnection.java
@@ -78,8 +78,23 @@
                 Event.CALLER_REQUEST_MALFORMED, mContext.channel().remoteAddress(), fault.reason());
     }
 
-    private void updateReading() {
-        mContext.channel().config().setAutoRead(mPipeline.canRead());
+    /**
+     * Reads further requests, or leaves them in the connection for now. Must be called on the event
+     * loop of the connection.
+     */
+    void updateReading() {
+        mContext.channel().config().setAutoRead(mPipeline.canRead() && !waitsForResponse());
+    }
+
+    /**
+     * Returns whether a request that is read now could remain without a response: the node is
+     * shutting down, and a response whose head has not announced the end of the connection may be
+     * broken off before it ends. A request that was not read may be sent again by its caller.
+     */
+    private boolean waitsForResponse() {
+        return mServer.isDraining()
+                && !mPipeline.isRejecting()
+                && mPipeline.started().stream().anyMatch(ConnectionRequest::isResponseUnfinished);
     }
 
     /**
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -116,10 +116,12 @@
 
     /**
      * Asks callers to reconnect to another node. Each further response carries {@code Connection:
-     * close} and closes its connection.
+     * close} and closes its connection. Behind a response that has started already, no request is
+     * read before the response has ended.
      */
     public void startDraining() {
         mDraining = true;
+        forEachConnection(CallerConnection::updateReading);
     }
 
     /** Stops accepting connections. Open connections stay open. */
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ChannelResponseWriter.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ChannelResponseWriter.java
@@ -36,6 +36,7 @@
     private final boolean mHeadRequest;
     private final Queue<Runnable> mPendingCallbacks = new ArrayDeque<>();
     private boolean mClosesConnection;
+    private boolean mStarted;
     private boolean mEnded;
 
     /**
@@ -81,6 +82,7 @@
         if (mEnded) {
             return;
         }
+        mStarted = true;
         HttpResponse message =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         addHeaders(message, headers);
@@ -128,6 +130,11 @@
         }
     }
 
+    /** Returns whether the head is written and the end of the response is not. */
+    boolean isUnfinished() {
+        return mStarted && !mEnded;
+    }
+
     @Override
     public void abort() {
         if (!mEnded) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ConnectionRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ConnectionRequest.java
@@ -146,6 +146,11 @@
         mRequest.release();
     }
 
+    /** Returns whether the head of the response is written and its end is not. */
+    boolean isResponseUnfinished() {
+        return mChannelWriter.isUnfinished();
+    }
+
     /** Continues the response after the connection became writable again. */
     void connectionWritable() {
         mChannelWriter.runCallbacksWhileWritable();
@@ -157,6 +162,7 @@
         if (closes) {
             mConnection.closeBehind(this);
         }
+        mConnection.updateReading();
         return closes;
     }
 
--- a/testbed/src/test/java/org/arbutuslock/testbed/fleet/PipeliningTest.java
+++ b/testbed/src/test/java/org/arbutuslock/testbed/fleet/PipeliningTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
 import java.net.Socket;
@@ -93,6 +94,34 @@
         }
     }
 
+    /**
+     * Guards against a request that is taken during a shutdown behind a response that does not end,
+     * and is cut off with it. A request that was not read may be sent again by its caller.
+     */
+    @Test
+    public void should_read_no_request_behind_a_response_that_does_not_end() throws Exception {
+        ExecutionRecord executions = mFleet.backends().get("order-hub-1").executions();
+        CallerServer server = mFleet.node("calgary-a-1").component(CallerServer.class);
+        try (Socket socket = connect()) {
+            EmbeddedChannel decoder = RawCaller.newDecoder();
+            send(socket, "GET /long/bundle");
+            assertTrue(RawCaller.readMore(socket, decoder), "the response has started");
+            server.startDraining();
+            awaitTasks("calgary-a-1");
+            send(socket, "GET /price?1", "POST /orders");
+            server.abortRequests();
+            InProcessFleet.await("end of the request", () -> server.activeRequests() == 0);
+        }
+        assertEquals(executions.total(), 1, "requests behind a response that did not end");
+    }
+
+    /** Waits until the event loops of a node have run all tasks that they had. */
+    private void awaitTasks(String node) {
+        mFleet.node(node)
+                .component(EventLoopGroup.class)
+                .forEach(loop -> loop.submit(() -> {}).syncUninterruptibly());
+    }
+
     private Socket connect() throws IOException {
         return RawCaller.connect(mFleet, "calgary-a-1");
     }
