--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -121,10 +121,12 @@
 
     /**
      * Asks callers to reconnect to another node. Each further response carries {@code Connection:
-     * close} and closes its connection.
+     * close} and closes its connection. Behind a response that has started already, no request is
+     * read before the response has ended.
      */
     public void startDraining() {
         mDraining = true;
+        forEachConnection(CallerConnection::updateReading);
     }
 
     /** Stops accepting connections. Open connections stay open. */
@@ -140,6 +142,11 @@
         mRefusing = true;
     }
 
+    /** Refuses the requests in progress that no backend server has got yet. */
+    public void withdrawRequests() {
+        forEachConnection(CallerConnection::withdrawRequests);
+    }
+
     /** Answers every request in progress with its currently known outcome. */
     public void abortRequests() {
         forEachConnection(CallerConnection::abortRequests);
