--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -357,7 +357,7 @@
                     mLastRefusalDetail = refused.reason() + ": " + refused.detail();
                     mRefusal = Optional.of(refused.reason());
                     end(AttemptResult.ofRefusal(refused.reason()));
-                    recordHealthRefusal(refused.reason());
+                    mTried.addRefusal(mMember.endpoint().id(), refused.reason());
                     acknowledge();
                     retryAfterRefusal(refused.reason());
                 }
@@ -379,14 +379,6 @@
             }
         }
 
-        private void recordHealthRefusal(RefusalReason reason) {
-            if (reason == RefusalReason.SUSPECT) {
-                mTried.addSuspect(mMember.endpoint().id());
-            } else if (reason == RefusalReason.UNPROVEN) {
-                mTried.addUnproven(mMember.endpoint().id());
-            }
-        }
-
         /** Records that this attempt may have been executed, unless it was never submitted. */
         private void recordPossibleExecution(String detail) {
             if (submission().isPresent() && !mPossiblyExecuted.contains(this)) {
@@ -487,11 +479,9 @@
         }
 
         private void cancelOtherAttempts() {
-            for (Attempt other : List.copyOf(mActiveAttempts)) {
-                if (other != this) {
-                    other.cancel();
-                }
-            }
+            List.copyOf(mActiveAttempts).stream()
+                    .filter(other -> other != this)
+                    .forEach(Attempt::cancel);
         }
 
         private void sendBuffered() {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/TriedEndpoints.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/TriedEndpoints.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.RouteDefinition;
+import org.arbutuslock.internal.execution.RefusalReason;
 import org.arbutuslock.internal.membership.FleetSnapshot;
 import org.arbutuslock.internal.progress.RequiredHealth;
 
@@ -47,6 +48,15 @@
         mPathFailed.add(endpoint);
     }
 
+    /** Records that an endpoint refused the request; only a reason of its health matters. */
+    void addRefusal(EndpointId endpoint, RefusalReason reason) {
+        switch (reason) {
+            case SUSPECT -> addSuspect(endpoint);
+            case UNPROVEN -> addUnproven(endpoint);
+            default -> {}
+        }
+    }
+
     /** Records that an endpoint refused the request because its backend server is suspect. */
     void addSuspect(EndpointId endpoint) {
         mSuspects.add(endpoint);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -81,9 +81,7 @@
 
     /** Returns the handlers of the connection, from its bytes to this object. Call it once. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {
-            mReceivedBytesLimit, mDecoder, new HttpRequestEncoder(), this
-        };
+        return new ChannelHandler[] {mReceivedBytesLimit, mDecoder, new HttpRequestEncoder(), this};
     }
 
     @Override
