Send an earlier failure when the last attempt has no outcome

What callers saw: nothing was reported; found by reading. A caller got status 504 of the node (outcome unknown) although a backend server had answered its request with a failure.

Cause: a failure of a backend server is kept while the request is tried again. refuse() and giveUp() send it when the other attempts have failed, reportUnknown() did not.

Ruled out: a request that must not be repeated. It keeps no failure, so its unknown outcome is still reported.

Change: the three ends of a request use one method, which breaks off a response that has started or sends the failure that was kept.

Evidence: CallerResponseTest#should_send_an_earlier_failure_when_the_last_attempt_has_no_outcome failed before (complete 500 != complete 504) and passes now, with Caller*Test, AttemptCounterTest, SentResponseTest and PlatformPathTest (mvn verify -pl kernel,daemon,platform -am with these tests).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -189,11 +189,7 @@
 
     /** Refuses the request, unless an earlier attempt may have been executed. */
     private void refuse() {
-        if (mDone || !mActiveAttempts.isEmpty() || breakOffStarted()) {
-            return;
-        }
-        if (mFallback.isPresent()) {
-            mFallback.get().sendBuffered();
+        if (mDone || !mActiveAttempts.isEmpty() || endWithReceived()) {
             return;
         }
         if (!mPossiblyExecuted.isEmpty()) {
@@ -205,7 +201,7 @@
     }
 
     private void reportUnknown(String detail) {
-        if (mDone || !mActiveAttempts.isEmpty() || breakOffStarted()) {
+        if (mDone || !mActiveAttempts.isEmpty() || endWithReceived()) {
             return;
         }
         // With several possibly executed attempts, the outcome of one of them does not tell the
@@ -216,14 +212,18 @@
         finish(RequestResult.UNKNOWN);
     }
 
-    /** Ends a response that has started, since nothing but the rest of its body may follow. */
-    private boolean breakOffStarted() {
-        if (!mResponse.hasStarted()) {
-            return false;
-        }
-        mResponse.breakOff();
-        finish(RequestResult.ABORTED);
-        return true;
+    /**
+     * Breaks off a response that has started, since nothing but the rest of its body may follow, or
+     * sends a failure that a backend server returned earlier. Returns false if there is neither.
+     */
+    private boolean endWithReceived() {
+        if (mResponse.hasStarted()) {
+            mResponse.breakOff();
+            finish(RequestResult.ABORTED);
+            return true;
+        }
+        mFallback.ifPresent(Attempt::sendBuffered);
+        return mFallback.isPresent();
     }
 
     private void deadlinePassed() {
@@ -237,11 +237,7 @@
         List<Attempt> activeAttempts = List.copyOf(mActiveAttempts);
         cancelAttempts();
         activeAttempts.forEach(attempt -> attempt.recordPossibleExecution(detail));
-        if (breakOffStarted()) {
-            return;
-        }
-        if (mFallback.isPresent()) {
-            mFallback.get().sendBuffered();
+        if (endWithReceived()) {
             return;
         }
         if (mPossiblyExecuted.isEmpty()) {
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerResponseTest.java
@@ -88,6 +88,16 @@
         assertEquals(mWritten, List.of("start 200", "part 0", "part 70000", "abort"));
     }
 
+    /** Guards against a response of this node in place of one that a backend server made. */
+    @Test
+    public void should_send_an_earlier_failure_when_the_last_attempt_has_no_outcome() {
+        failFirstAttempt();
+        for (int attempt = 1; attempt < mAttempts.size(); attempt++) {
+            send(attempt, new ResponseEvent.OutcomeUnknown("cut", LoadReport.UNKNOWN));
+        }
+        assertEquals(mWritten, List.of("complete 500"));
+    }
+
     @Test
     public void should_not_append_the_body_of_another_attempt() {
         advance(OBJECTIVE_MILLIS);
