Guard the body of a response behind an interim one

The HTTP codec finds the method of a response by counting responses. CallerHttpTest#should_send_a_body_to_post_and_none_to_head_after_an_interim_response shows that 100 Continue does not shift the count: the body of POST is sent, that of a pipelined HEAD is not. It passes without a change.

--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerHttpTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerHttpTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -132,6 +133,22 @@
         assertNull(send(head + "Content-Length: 2\r\n\r\n"));
     }
 
+    /**
+     * Guards against a body without its request: an interim response must not shift the methods.
+     */
+    @Test
+    public void should_send_a_body_to_post_and_none_to_head_after_an_interim_response() {
+        String post = "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nExpect: 100-continue\r\n";
+        assertEquals(send(post + "Content-Length: 2\r\n\r\n"), "HTTP/1.1 100 Continue");
+        assertNull(send("abHEAD /x/2 HTTP/1.1\r\nHost: a.example\r\n\r\n"));
+        mClock.advance(Duration.ofSeconds(3));
+        mChannel.advanceTimeBy(3, TimeUnit.SECONDS);
+        assertEquals(readAll(), List.of(100, 503, 503));
+        String[] responses = mWritten.toString().split("HTTP/1.1 ");
+        assertFalse(responses[2].endsWith("\r\n\r\n"), mWritten.toString());
+        assertTrue(responses[3].endsWith("\r\n\r\n"), mWritten.toString());
+    }
+
     @Test
     public void should_count_the_deadline_from_the_arrival_of_a_request() {
         assertNull(send("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"));
