Drop a body that another response has filled up

What callers could see: a body that is not the whole body of the backend server (MIXED), with its status, seal and length.

Cause: a backend server breaks off in the body of a response with a length, keeps the connection, and writes a copy of this or of an earlier response. The decoder takes the copy for the rest of the body.

Ruled out: chunks (the decoder fails at the size of the next one), HEAD, and a copy before the response, cut at each byte (7 kinds of copies, 4 kinds of responses, random parts; #should_answer_with_one_whole_response_behind_a_copy passes without this change).

Change: the connection searches the body for a status line, also across its parts and its end. When one is found and bytes follow the body, the request ends with an unknown outcome. SkippedBody, which did this for discarded bodies, is ReceivedBody now.

Why this works: what the body has taken up begins with a status line, and the rest of that response follows. A sound body that quotes a status line has nothing behind it. Not covered: the rest of the copy arrives in a later read than the end of the body; a body without a length, which the end of the connection ends.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -57,7 +57,7 @@
     private boolean mHeadRequest;
     private boolean mInterim;
     private int mInterimResponses;
-    private SkippedBody mSkippedBody = new SkippedBody();
+    private ReceivedBody mBody = new ReceivedBody();
     private long mIdleSinceNanos;
 
     /**
@@ -220,7 +220,7 @@
             }
             return false;
         }
-        mSkippedBody = new SkippedBody();
+        mBody = new ReceivedBody();
         mResponseKind =
                 mDialect.classifyResponse(
                         mRequestHeaders,
@@ -286,6 +286,11 @@
         if (!last && !content.content().isReadable()) {
             return;
         }
+        mBody.add(content);
+        if (last && mBody.isContinuedBy(mDecoder.nextBytes(ReceivedBody.KEPT_CHARACTERS))) {
+            fail("another response starts in the body and continues behind it");
+            return;
+        }
         BackendEvent body = new BackendEvent.Body(ByteBufUtil.getBytes(content.content()), last);
         if (last) {
             emitLast(body);
@@ -301,12 +306,12 @@
      * be a copy of that response with another status.
      */
     private void skipBody(HttpContent content, boolean last) {
-        mSkippedBody.add(content);
-        if (mResponseKind == ResponseKind.OTHER_REQUEST && mSkippedBody.containsResponse()) {
+        mBody.add(content);
+        if (mResponseKind == ResponseKind.OTHER_REQUEST && mBody.containsResponse()) {
             fail("a response to another request contains a status line");
             return;
         }
-        boolean tooLong = mSkippedBody.bytes() > MAXIMUM_SKIPPED_BYTES;
+        boolean tooLong = mBody.bytes() > MAXIMUM_SKIPPED_BYTES;
         if (!last && !tooLong) {
             return;
         }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendResponseDecoder.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendResponseDecoder.java
@@ -1,10 +1,12 @@
 package org.arbutuslock.daemon.internal.home;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.nio.charset.StandardCharsets;
 
 /**
  * Decodes the responses on one connection to a backend server. Bounds the size of their heads and
@@ -34,6 +36,13 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns up to {@code maximum} of the bytes that {@link #hasMoreBytes} tells of. */
+    String nextBytes(int maximum) {
+        ByteBuf buffer = internalBuffer();
+        int length = Math.min(maximum, buffer.readableBytes());
+        return buffer.toString(buffer.readerIndex(), length, StandardCharsets.ISO_8859_1);
+    }
+
     // The codec of Netty counts responses to find their methods, which extra responses shift.
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/SkippedBody.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ReceivedBody.java
@@ -6,12 +6,12 @@
 import java.util.Map;
 
 /**
- * The body of a response that no request gets. Detects a body that breaks off: the response behind
- * it on the connection is then read as the rest of the body.
+ * The body of a response. Detects a body that breaks off: the response behind it on the connection
+ * is then read as the rest of the body.
  */
-final class SkippedBody {
-    // One byte less than the part of a status line that is searched for.
-    private static final int KEPT_CHARACTERS = "HTTP/1.1 500".length() - 1;
+final class ReceivedBody {
+    /** One byte less than the part of a status line that is searched for. */
+    static final int KEPT_CHARACTERS = "HTTP/1.1 500".length() - 1;
 
     private long mBytes;
     private String mEnd = "";
@@ -39,4 +39,16 @@
     boolean containsResponse() {
         return mContainsResponse;
     }
+
+    /**
+     * Returns whether another response starts in the body and continues behind it. A body that
+     * merely quotes a status line has nothing behind it.
+     *
+     * @param following first bytes behind the body, at most {@link #KEPT_CHARACTERS}; empty if
+     *     there are none
+     */
+    boolean isContinuedBy(String following) {
+        return !following.isEmpty()
+                && (mContainsResponse || ResponseHeads.containsStatusLine(mEnd + following));
+    }
 }
