Send no earlier refusal when the last attempt has no outcome

Cause: sends an earlier failure of a backend server when the last attempt ends with an unknown outcome. Such a failure may have status 503, which promises that the request has not run.

Change: this end of a request reports the unknown outcome instead, as before (design.md: a refusal after an attempt of unknown outcome is an unknown outcome). The other two ends are unchanged; they send the 503 of a backend server for a request that may be repeated.

Evidence: CallerResponseTest#should_not_send_an_earlier_refusal_when_the_last_attempt_has_no_outcome failed before (complete 504 != complete 503) and passes now, with Caller*Test, AttemptCounterTest and TriedEndpointsTest (mvn verify -pl kernel,daemon -am with these tests).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -201,7 +201,12 @@
     }
 
     private void reportUnknown(String detail) {
-        if (mDone || !mActiveAttempts.isEmpty() || endWithReceived()) {
+        if (mDone || !mActiveAttempts.isEmpty()) {
+            return;
+        }
+        // Status 503 promises that the request has not run, which is not known here.
+        mFallback = mFallback.filter(attempt -> !attempt.mBuffer.isServiceUnavailable());
+        if (endWithReceived()) {
             return;
         }
         // With several possibly executed attempts, the outcome of one of them does not tell the
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/CallerResponseTest.java
@@ -100,6 +100,16 @@
         assertEquals(mWritten, List.of("complete 500"));
     }
 
+    /** Guards against a promise that the request has not run when that is not known. */
+    @Test
+    public void should_not_send_an_earlier_refusal_when_the_last_attempt_has_no_outcome() {
+        send(0, head(503), body(new byte[1], true));
+        for (int attempt = 1; attempt < mAttempts.size(); attempt++) {
+            send(attempt, new ResponseEvent.OutcomeUnknown("cut", LoadReport.UNKNOWN));
+        }
+        assertEquals(mWritten, List.of("complete 504"));
+    }
+
     @Test
     public void should_not_append_the_body_of_another_attempt() {
         advance(OBJECTIVE_MILLIS);
