Close all sessions of a stopping node at the same time

Cause: PeerServer closed each accepted session and waited for it before it closed the next one. With hundreds of nodes, each of these waits lasts until the event loop of the session gets its turn, and one event loop that is busy holds up all sessions behind it; their entry nodes learn of the end of the session only when it closes.

Change: all sessions are closed first, then all are awaited.

Evidence: PeerServerTest#should_close_the_other_sessions_while_one_event_loop_is_busy failed before ("Read timed out") and passes now with PeerLinksTest, Session*Test, GracefulShutdownTest and CallerConnectionTest (mvn verify -pl kernel,daemon -am).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
@@ -2,11 +2,13 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.arbutuslock.api.Clock;
@@ -87,6 +89,7 @@
     /** Closes the listener and all accepted sessions, and waits until they are closed. */
     public void close() {
         mListener.close().syncUninterruptibly();
-        mSessions.keySet().forEach(channel -> channel.close().awaitUninterruptibly());
+        List<ChannelFuture> closing = mSessions.keySet().stream().map(Channel::close).toList();
+        closing.forEach(ChannelFuture::awaitUninterruptibly);
     }
 }
