--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -91,6 +91,12 @@
         }
     }
 
+    /** Starts no further attempts and withdraws those that wait, because this node is stopping. */
+    void withdrawForShutdown() {
+        mCounter.stop();
+        mActiveAttempts.forEach(Attempt::withdraw);
+    }
+
     /** Answers the request with its currently known outcome because this node is stopping. */
     void abortForShutdown() {
         giveUp("the entry node is shutting down");
@@ -444,7 +450,7 @@
                 // theirs.
                 cancelOtherAttempts();
                 mResponse.start(mId, mBuffer.status(), mBuffer.headers());
-                sendPart(mBuffer.body(), false);
+                sendPart(mBuffer.takeBody(), false);
                 sendPart(data, last);
             }
             if (last && !mDone && !mClosed) {
@@ -455,7 +461,10 @@
         /** Buffers a small response, so that nothing is sent before it is complete. */
         private void bufferBody(byte[] data, boolean last) {
             mBuffer.append(data);
-            if (last && shouldRetryFailure()) {
+            if (!last && mBuffer.hasDroppedLongBody()) {
+                cancel();
+                sendBuffered();
+            } else if (last && shouldRetryFailure()) {
                 end(AttemptResult.REFUSED);
                 acknowledge();
                 mFallback = Optional.of(this);
@@ -575,6 +584,10 @@
             return mRefusal.map(RefusalReason::name).orElse(result.name());
         }
 
+        private void withdraw() {
+            AttemptWithdrawal.send(mServices, mEventLoop, mId, submission(), this::handle);
+        }
+
         private void cancel() {
             if (!mClosed) {
                 end(AttemptResult.SERVER_FAILED);
