Read less ahead of slow callers when there are many

What callers saw: with some 800 callers that read nothing of responses without end, requests of other callers of the node ended with "Java heap space".

Cause: each response may be read 256 KiB ahead of its caller, however many responses there are.

Ruled out: a smaller initial credit for all; it is the window of a download between regions.

Change: ResponseCredit adds up the bytes without credit of all responses of a home node. Past 32 MiB the window of each response is 32 KiB.

Why this works: the sum grows past 32 MiB by at most 32 KiB and one buffer for each response. A response goes on when its own caller reads, so no other response has to wake it.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -64,7 +64,7 @@
     private Future<?> mDeadline;
     private Optional<RequestObservation> mObservation = Optional.empty();
     private Future<?> mStallCheck;
-    private long mCredit = INITIAL_CREDIT_BYTES;
+    private final ResponseCredit mCredit;
     private long mUnreadBytes;
     private boolean mCancelled;
     private boolean mDone;
@@ -78,7 +78,9 @@
             ExecutionRequest request,
             ExecutionRecord record,
             TrafficClass trafficClass,
+            ResponseCredit credit,
             ResponseListener listener) {
+        mCredit = credit;
         mTrafficClass = trafficClass;
         mEndpoint = endpoint;
         mClock = clock;
@@ -178,7 +180,7 @@
         keepBody(data);
         recordProgress();
         if (hasReader()) {
-            mCredit -= data.length;
+            mCredit.use(data.length);
         } else {
             mUnreadBytes += data.length;
         }
@@ -187,7 +189,7 @@
         } else if (mUnreadBytes > MAXIMUM_UNREAD_BODY_BYTES) {
             breakOffUnread();
             return;
-        } else if (mCredit <= 0 && hasReader()) {
+        } else if (hasReader() && !mCredit.mayRead()) {
             mConnection.setReading(false);
             mObservation.ifPresent(RequestObservation::recordSlowCaller);
         }
@@ -319,6 +321,7 @@
 
     private void finish() {
         mDone = true;
+        mCredit.release();
         mDeadline.cancel(false);
         mStallCheck.cancel(false);
     }
@@ -357,8 +360,11 @@
     public void grantCredit(int bytes) {
         mEndpoint.execute(
                 () -> {
-                    mCredit += bytes;
-                    if (mConnection != null && !mDone && mCredit > 0) {
+                    if (mConnection == null || mDone || mCancelled) {
+                        return;
+                    }
+                    mCredit.grant(bytes);
+                    if (mCredit.mayRead()) {
                         mConnection.setReading(true);
                     }
                 });
@@ -383,6 +389,7 @@
             failDispatched("the request was cancelled", Outcome.OK);
         } else {
             // Continues without a reader, so that its outcome can be queried later.
+            mCredit.release();
             mConnection.setReading(true);
         }
     }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.agrona.collections.Object2ObjectHashMap;
 import org.arbutuslock.api.Clock;
@@ -50,6 +51,7 @@
             new AtomicReference<>(Map.of());
     private final ConcurrentHashMap<Long, Runnable> mFencingCallbacks = new ConcurrentHashMap<>();
     private final long mProbeSession;
+    private final AtomicLong mBytesWithoutCredit = new AtomicLong();
     private volatile boolean mDraining;
 
     /**
@@ -219,7 +221,14 @@
         TrafficClass trafficClass =
                 request.workClass() == WorkClass.SHORT ? TrafficClass.SHORT : TrafficClass.LONG;
         HomeExchange exchange =
-                new HomeExchange(endpoint, mClock, request, record, trafficClass, listener);
+                new HomeExchange(
+                        endpoint,
+                        mClock,
+                        request,
+                        record,
+                        trafficClass,
+                        new ResponseCredit(mBytesWithoutCredit),
+                        listener);
         endpoint.offer(exchange);
         return exchange;
     }
@@ -261,7 +270,13 @@
             record.abandon();
             endpoint.offer(
                     new HomeExchange(
-                            endpoint, mClock, request, record, TrafficClass.PROBE, event -> {}));
+                            endpoint,
+                            mClock,
+                            request,
+                            record,
+                            TrafficClass.PROBE,
+                            new ResponseCredit(mBytesWithoutCredit),
+                            event -> {}));
         }
     }
 
