--- a/review/standins/Endless.java
+++ b/testbed/standins/Endless.java
@@ -14,9 +14,11 @@
  * One node with 24 endpoints that answer with bytes without end, in 12 forms, and 4 sound ones.
  * Callers of the endless service read, read nothing, or leave; those of the sound service are
  * counted. Prints the peak memory and the processor time of the node, and what the callers of the
- * sound service got. Run by hand, after the build of the deploy file and {@code review/build.sh}:
+ * sound service got. It uses the stand-ins of the review. Run by hand, after the build of the deploy
+ * file and {@code review/build.sh}:
  *
- * <pre>java -Xmx700m -cp target/review Endless . FOLDER</pre>
+ * <pre>javac -cp target/review -d target/review testbed/standins/Endless.java
+ * java -Xmx700m -cp target/review Endless . FOLDER</pre>
  *
  * Options, with their defaults: {@code -Dseconds=30}, {@code -Dcallers=48}, {@code -Dslots=3},
  * {@code -Dforms=UNFRAMED,CHUNKED,...}, {@code -Dpipeline=1} (requests sent ahead), {@code -Dmode=}
