Leave the runtime time to end when a step of the shutdown blocks

What operators saw: with an operator's connection open, every planned stop ended with a kill at the end of the grace time (4 of 4 with real processes). With the bound of BoundedShutdown 0.25 s before the end, 2 of 4 still did, although STOP_LIMIT_REACHED was logged in time.

Cause: the operators' service waited 1 s for its open connections, and the runtime took 0.37 s instead of 0.07 s from NODE_STOPPED to the end of the process. Inferred, not traced: it waits up to 0.3 s for threads that are in a system call, such as the event loops of that service.

Change: the operators' service waits 0.1 s. ShutdownPlan leaves 0.4 s for the end of the runtime instead of 0.25 s, and 0.9 s instead of 0.7 s behind the drain limit: 15 percent of the time that the host gives, so that unfinished requests are ended within the last sixth whatever that time is.

Cost: requests that would end between 5.3 and 5.1 s after the signal get an unknown outcome or a refusal.

Evidence: ShutdownPlanTest#should_leave_time_for_the_runtime_to_end failed with the limits before ("expected [true] but found [false]") and passes now. Operators*Test, PlatformPathTest, GracefulShutdownTest and EventsPageTest pass (mvn verify -pl kernel,daemon,platform -am).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OperatorsPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OperatorsPlugin.java
@@ -39,7 +39,9 @@
     /** Name that other plug-ins use to require this one. */
     public static final String NAME = "operators";
 
-    private static final Duration STOP_GRACE = Duration.ofSeconds(1);
+    // A connection that an operator left open lasts for the whole grace; the stop of all plug-ins
+    // together has 0.2 s.
+    private static final Duration STOP_GRACE = Duration.ofMillis(100);
 
     private Runnable mStop;
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/shutdown/ShutdownPlan.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/shutdown/ShutdownPlan.java
@@ -15,14 +15,15 @@
 public record ShutdownPlan(Duration notice, Duration drainLimit, Duration stopLimit) {
     // A leaving server must get no new work 3 s after the start of its shutdown.
     private static final Duration MAXIMUM_NOTICE = Duration.ofMillis(2_500);
-    // Of this time, the end of unfinished requests takes up to 0.3 s, the stop of the plug-ins the
-    // rest. At the usual 6 s it lies within the last sixth, in which requests may be ended.
-    private static final Duration MAXIMUM_STOP_TIME = Duration.ofMillis(700);
-    private static final int STOP_TIME_DIVISOR = 8;
-    // The runtime needs it from the signal to the start of the shutdown, and to end the process:
-    // 0.21 s together on a host with four runnable threads for each processor.
-    private static final Duration MAXIMUM_EXIT_TIME = Duration.ofMillis(250);
-    private static final int EXIT_TIME_DIVISOR = 24;
+    // Of this time, the end of unfinished requests takes up to 0.3 s, the stop of the plug-ins and
+    // the end of the process the rest. It lies within the last sixth of the time that the host
+    // gives, in which unfinished requests may be ended.
+    private static final Duration MAXIMUM_STOP_TIME = Duration.ofMillis(900);
+    private static final int MAXIMUM_STOP_PERCENT = 15;
+    // The runtime waits up to 0.3 s for threads that are in a system call when it ends, such as
+    // event loops that a blocked shutdown has not stopped.
+    private static final Duration MAXIMUM_EXIT_TIME = Duration.ofMillis(400);
+    private static final int EXIT_TIME_DIVISOR = 15;
 
     /**
      * Divides the time that the host gives the process to stop.
@@ -33,7 +34,8 @@
     public static ShutdownPlan of(NodeSettings settings) {
         Duration total = ofSeconds(settings.bounds().stopSeconds());
         Duration notice = shorter(MAXIMUM_NOTICE, total.dividedBy(2));
-        Duration stopTime = shorter(MAXIMUM_STOP_TIME, total.dividedBy(STOP_TIME_DIVISOR));
+        Duration stopShare = total.multipliedBy(MAXIMUM_STOP_PERCENT).dividedBy(100);
+        Duration stopTime = shorter(MAXIMUM_STOP_TIME, stopShare);
         Duration exitTime = shorter(MAXIMUM_EXIT_TIME, total.dividedBy(EXIT_TIME_DIVISOR));
         Duration configured = notice.plus(ofSeconds(settings.limits().drainSeconds()));
         Duration drainLimit = shorter(configured, total.minus(stopTime));
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/shutdown/ShutdownPlanTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/shutdown/ShutdownPlanTest.java
@@ -14,12 +14,19 @@
 /** Guards against a shutdown that takes longer than the host waits before it kills the process. */
 public class ShutdownPlanTest {
     @Test
-    public void should_end_requests_only_in_the_last_sixth_of_the_usual_time() throws Exception {
-        ShutdownPlan plan = plan("6", 30);
-        assertEquals(plan.notice(), Duration.ofMillis(2_500));
-        assertTrue(plan.drainLimit().toMillis() >= 5_000, plan.toString());
-        assertTrue(plan.drainLimit().toMillis() <= 5_500, plan.toString());
-        assertTrue(plan.stopLimit().toMillis() < 6_000, plan.toString());
+    public void should_end_requests_only_in_the_last_sixth_of_the_time() throws Exception {
+        for (String seconds : new String[] {"1", "3", "4", "6", "10", "30"}) {
+            ShutdownPlan plan = plan(seconds, 3_600);
+            double total = Double.parseDouble(seconds) * 1_000;
+            assertTrue(plan.drainLimit().toMillis() >= total * 5 / 6, plan.toString());
+        }
+        assertEquals(plan("6", 30).notice(), Duration.ofMillis(2_500));
+    }
+
+    /** The runtime needs up to 0.3 s to end while threads are in system calls. */
+    @Test
+    public void should_leave_time_for_the_runtime_to_end() throws Exception {
+        assertTrue(plan("6", 30).stopLimit().toMillis() <= 6_000 - 350);
     }
 
     /** Guards against a notice period that alone is longer than the time that the host gives. */
