Replace a kept response that promises no execution

What callers saw: nothing was reported; found by reading. A caller that asks for the outcome of an order got the status 503 of the backend server that had executed it, which README.md explains as not executed.

Cause: the response to an order is replaced when its status promises that the order has not run (408, 421, 429, 503). GET /.arbutuslock/requests/ID returned the kept response without that.

Ruled out: responses to requests that may be repeated. They are not kept.

Change: the kept response is replaced in the same way.

Evidence: OutcomeRequestHandlerTest#should_replace_a_kept_response_that_promises_no_execution failed before (expected [502] but found [503]) and passes now, with Caller*Test (mvn verify -pl kernel,daemon -am with these tests).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/OutcomeRequestHandler.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/OutcomeRequestHandler.java
@@ -68,7 +68,10 @@
             return;
         }
         switch (report.state()) {
-            case ANSWERED -> mResponseWriter.sendComplete(report.response().orElseThrow());
+            // Only the responses to requests that must not run twice are kept.
+            case ANSWERED ->
+                    mResponseWriter.sendComplete(
+                            ExecutedResponse.forCaller(report.response().orElseThrow(), false));
             case NOT_RUN ->
                     mResponseWriter.sendComplete(describe(TextResponses.OK, "not-run", "not run"));
             case IN_PROGRESS ->
