--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ConnectionRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ConnectionRequest.java
@@ -124,6 +124,11 @@
         mResponseWriter.takeTurn();
     }
 
+    /** Withdraws the attempts that wait at a home node, because the node is stopping. */
+    void withdrawForShutdown() {
+        mCallerRequest.ifPresent(CallerRequest::withdrawForShutdown);
+    }
+
     /** Answers this request with its currently known outcome, because the node is stopping. */
     void abortForShutdown() {
         mCallerRequest.ifPresent(CallerRequest::abortForShutdown);
@@ -141,6 +146,11 @@
         mRequest.release();
     }
 
+    /** Returns whether the head of the response is written and its end is not. */
+    boolean isResponseUnfinished() {
+        return mChannelWriter.isUnfinished();
+    }
+
     /** Continues the response after the connection became writable again. */
     void connectionWritable() {
         mChannelWriter.runCallbacksWhileWritable();
@@ -152,6 +162,7 @@
         if (closes) {
             mConnection.closeBehind(this);
         }
+        mConnection.updateReading();
         return closes;
     }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ResponseBuffer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ResponseBuffer.java
@@ -15,7 +15,8 @@
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final boolean mRepeatable;
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private long mDroppedBytes;
     private int mStatus;
     private List<HeaderField> mHeaders = List.of();
 
@@ -59,20 +60,33 @@
     }
 
     void append(byte[] data) {
-        if (!isReplaced()) {
+        if (isReplaced()) {
+            mDroppedBytes += data.length;
+        } else {
             mBody.writeBytes(data);
         }
     }
 
-    byte[] body() {
-        return mBody.toByteArray();
+    /**
+     * Returns whether the body of a response that must not reach the caller is longer than a
+     * response that is buffered. It may have no end, and its rest changes nothing for the caller.
+     */
+    boolean hasDroppedLongBody() {
+        return mDroppedBytes > MAXIMUM_BYTES;
+    }
+
+    /** Returns the buffered part of the body and frees its memory. */
+    byte[] takeBody() {
+        byte[] body = mBody.toByteArray();
+        mBody = new ByteArrayOutputStream();
+        return body;
     }
 
     /**
      * Returns the response as it was received; the body is empty if it must not reach the caller.
      */
     BufferedResponse toResponse() {
-        return new BufferedResponse(mStatus, mHeaders, body());
+        return new BufferedResponse(mStatus, mHeaders, mBody.toByteArray());
     }
 
     private boolean isReplaced() {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -24,6 +24,7 @@
 import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.daemon.internal.exchange.HttpHeaderFields;
+import org.arbutuslock.daemon.internal.http.ReceivedBytesLimit;
 import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.dialect.ResponseKind;
 import org.arbutuslock.internal.messages.HeaderField;
@@ -36,6 +37,9 @@
     private static final int MAXIMUM_SENT_NAMES = 1_024;
     private static final int MAXIMUM_INTERIM_RESPONSES = 32;
     private static final int MAXIMUM_SKIPPED_BYTES = 64 * 1024;
+    private static final int MAXIMUM_BYTES_OUTSIDE_BODIES = 256 * 1024;
+    // A body that comes in chunks of one byte has five bytes beside each byte of the body.
+    private static final int ALLOWED_BYTES_PER_BODY_BYTE = 16;
     private static final int SWITCHING_PROTOCOLS = 101;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int LAST_STATUS = 999;
@@ -44,6 +48,8 @@
     private final long mNumber;
     private final DroppedResponseLog mDroppedResponses;
     private final BackendResponseDecoder mDecoder = new BackendResponseDecoder();
+    private final ReceivedBytesLimit mReceivedBytesLimit =
+            new ReceivedBytesLimit(MAXIMUM_BYTES_OUTSIDE_BODIES);
     private EndpointId mEndpoint;
     private List<HeaderField> mRequestHeaders = List.of();
     private ResponseKind mResponseKind = ResponseKind.ANSWER;
@@ -75,7 +81,7 @@
 
     /** Returns the handlers of the connection, from its bytes to this object. Call it once. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {mDecoder, new HttpRequestEncoder(), this};
+        return new ChannelHandler[] {mReceivedBytesLimit, mDecoder, new HttpRequestEncoder(), this};
     }
 
     @Override
@@ -137,6 +143,7 @@
         mSentRequests++;
         mInterim = false;
         mInterimResponses = 0;
+        mReceivedBytesLimit.reset();
         mHeadRequest = request.method().equals("HEAD");
         mDecoder.setHeadRequest(mHeadRequest);
         // The last part of the previous response may have stopped reading for lack of credit.
@@ -291,6 +298,8 @@
             fail("another response starts in the body and continues behind it");
             return;
         }
+        mReceivedBytesLimit.allow(
+                (long) ALLOWED_BYTES_PER_BODY_BYTE * content.content().readableBytes());
         BackendEvent body = new BackendEvent.Body(ByteBufUtil.getBytes(content.content()), last);
         if (last) {
             emitLast(body);
