Accept a restarted backend server that states no start time

What callers saw: a backend server that announces no start time, left and started again at the same home node got no requests until that node restarted. Not on the platform, whose backend servers state it.

Cause: departed runs are remembered by name and start time. Without a start time all runs of a server were one run, and the announcements of the next one were ignored.

Change: only runs with a start time are remembered.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/LocalEndpoints.java
@@ -276,7 +276,7 @@
 
     private void addDepartedRun(ServerRun run) {
         // Without a start time, the next run of the server could not be told from this one.
-        if (mDepartedRuns.add(run) && run.startMillis() > 0) {
+        if (run.startMillis() > 0 && mDepartedRuns.add(run)) {
             mDepartures.departed(run.id().backendServer(), run.startMillis());
         }
     }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/LocalEndpointsTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/LocalEndpointsTest.java
@@ -148,6 +148,16 @@
         assertTrue(mEndpoints.find(FIRST).isPresent());
     }
 
+    /** Guards against a restarted server that is out of use until its home node restarts. */
+    @Test
+    public void should_accept_a_restarted_server_that_states_no_start_time() {
+        mEndpoints.announce(announcement(FIRST, false, 0, 0));
+        mEndpoints.startDeparture(FIRST.backendServer());
+        mEndpoints.remove(FIRST, "departed");
+        mEndpoints.announce(announcement(FIRST, false, 0, 0));
+        assertTrue(mEndpoints.find(FIRST).isPresent());
+    }
+
     @Test
     public void should_ignore_a_late_announcement_of_a_predecessor() {
         mEndpoints.announce(announcement(FIRST, false, 10, 1));
