--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -195,11 +195,7 @@
 
     /** Refuses the request, unless an earlier attempt may have been executed. */
     private void refuse() {
-        if (mDone || !mActiveAttempts.isEmpty() || breakOffStarted()) {
-            return;
-        }
-        if (mFallback.isPresent()) {
-            mFallback.get().sendBuffered();
+        if (mDone || !mActiveAttempts.isEmpty() || endWithReceived()) {
             return;
         }
         if (!mPossiblyExecuted.isEmpty()) {
@@ -211,7 +207,12 @@
     }
 
     private void reportUnknown(String detail) {
-        if (mDone || !mActiveAttempts.isEmpty() || breakOffStarted()) {
+        if (mDone || !mActiveAttempts.isEmpty()) {
+            return;
+        }
+        // Status 503 promises that the request has not run, which is not known here.
+        mFallback = mFallback.filter(attempt -> !attempt.mBuffer.isServiceUnavailable());
+        if (endWithReceived()) {
             return;
         }
         // With several possibly executed attempts, the outcome of one of them does not tell the
@@ -222,14 +223,18 @@
         finish(RequestResult.UNKNOWN);
     }
 
-    /** Ends a response that has started, since nothing but the rest of its body may follow. */
-    private boolean breakOffStarted() {
-        if (!mResponse.hasStarted()) {
-            return false;
-        }
-        mResponse.breakOff();
-        finish(RequestResult.ABORTED);
-        return true;
+    /**
+     * Breaks off a response that has started, since nothing but the rest of its body may follow, or
+     * sends a failure that a backend server returned earlier. Returns false if there is neither.
+     */
+    private boolean endWithReceived() {
+        if (mResponse.hasStarted()) {
+            mResponse.breakOff();
+            finish(RequestResult.ABORTED);
+            return true;
+        }
+        mFallback.ifPresent(Attempt::sendBuffered);
+        return mFallback.isPresent();
     }
 
     private void deadlinePassed() {
@@ -243,11 +248,7 @@
         List<Attempt> activeAttempts = List.copyOf(mActiveAttempts);
         cancelAttempts();
         activeAttempts.forEach(attempt -> attempt.recordPossibleExecution(detail));
-        if (breakOffStarted()) {
-            return;
-        }
-        if (mFallback.isPresent()) {
-            mFallback.get().sendBuffered();
+        if (endWithReceived()) {
             return;
         }
         if (mPossiblyExecuted.isEmpty()) {
@@ -357,7 +358,7 @@
                     mLastRefusalDetail = refused.reason() + ": " + refused.detail();
                     mRefusal = Optional.of(refused.reason());
                     end(AttemptResult.ofRefusal(refused.reason()));
-                    recordHealthRefusal(refused.reason());
+                    mTried.addRefusal(mMember.endpoint().id(), refused.reason());
                     acknowledge();
                     retryAfterRefusal(refused.reason());
                 }
@@ -379,14 +380,6 @@
             }
         }
 
-        private void recordHealthRefusal(RefusalReason reason) {
-            if (reason == RefusalReason.SUSPECT) {
-                mTried.addSuspect(mMember.endpoint().id());
-            } else if (reason == RefusalReason.UNPROVEN) {
-                mTried.addUnproven(mMember.endpoint().id());
-            }
-        }
-
         /** Records that this attempt may have been executed, unless it was never submitted. */
         private void recordPossibleExecution(String detail) {
             if (submission().isPresent() && !mPossiblyExecuted.contains(this)) {
@@ -487,11 +480,9 @@
         }
 
         private void cancelOtherAttempts() {
-            for (Attempt other : List.copyOf(mActiveAttempts)) {
-                if (other != this) {
-                    other.cancel();
-                }
-            }
+            List.copyOf(mActiveAttempts).stream()
+                    .filter(other -> other != this)
+                    .forEach(Attempt::cancel);
         }
 
         private void sendBuffered() {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -63,7 +63,7 @@
     private boolean mHeadRequest;
     private boolean mInterim;
     private int mInterimResponses;
-    private SkippedBody mSkippedBody = new SkippedBody();
+    private ReceivedBody mBody = new ReceivedBody();
     private long mIdleSinceNanos;
 
     /**
@@ -81,9 +81,7 @@
 
     /** Returns the handlers of the connection, from its bytes to this object. Call it once. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {
-            mReceivedBytesLimit, mDecoder, new HttpRequestEncoder(), this
-        };
+        return new ChannelHandler[] {mReceivedBytesLimit, mDecoder, new HttpRequestEncoder(), this};
     }
 
     @Override
@@ -229,7 +227,7 @@
             }
             return false;
         }
-        mSkippedBody = new SkippedBody();
+        mBody = new ReceivedBody();
         mResponseKind =
                 mDialect.classifyResponse(
                         mRequestHeaders,
@@ -297,6 +295,11 @@
         }
         mReceivedBytesLimit.allow(
                 (long) ALLOWED_BYTES_PER_BODY_BYTE * content.content().readableBytes());
+        mBody.add(content);
+        if (last && mBody.isContinuedBy(mDecoder.nextBytes(ReceivedBody.KEPT_CHARACTERS))) {
+            fail("another response starts in the body and continues behind it");
+            return;
+        }
         BackendEvent body = new BackendEvent.Body(ByteBufUtil.getBytes(content.content()), last);
         if (last) {
             emitLast(body);
@@ -312,12 +315,12 @@
      * be a copy of that response with another status.
      */
     private void skipBody(HttpContent content, boolean last) {
-        mSkippedBody.add(content);
-        if (mResponseKind == ResponseKind.OTHER_REQUEST && mSkippedBody.containsResponse()) {
+        mBody.add(content);
+        if (mResponseKind == ResponseKind.OTHER_REQUEST && mBody.containsResponse()) {
             fail("a response to another request contains a status line");
             return;
         }
-        boolean tooLong = mSkippedBody.bytes() > MAXIMUM_SKIPPED_BYTES;
+        boolean tooLong = mBody.bytes() > MAXIMUM_SKIPPED_BYTES;
         if (!last && !tooLong) {
             return;
         }
