Show that a node whose clock was set back is not served

Seen: the execution ledger of a home node answers Forgotten to every request of an entry node whose incarnation is lower than one that it remembers, so that each ends with an unknown outcome until the home node restarts.

Cause: Node takes the wall-clock time of its start as its incarnation. After a start with the clock set back the number is lower, and ForgottenSequences takes all its requests for late copies. GossipProtocol#refute compares only its own incarnation, so the new record is not learned either (read, not run).

Not fixed: the incarnation has to be raised above the last one that the fleet or the store knows.

--- a/kernel/src/test/java/org/arbutuslock/internal/execution/ExecutionLedgerTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/execution/ExecutionLedgerTest.java
@@ -113,6 +113,24 @@
         assertEquals(ledger.keptBytes(), 100);
     }
 
+    /**
+     * Guards against an entry node that starts after its clock was set back and is never served.
+     */
+    @Test
+    public void should_admit_requests_of_an_entry_node_with_a_lower_incarnation() {
+        ExecutionLedger ledger = createLedger(10);
+        long session = ledger.openSession();
+        ExecutionRecord record = admit(ledger, session, 5);
+        record.refuse(RefusalReason.DRAINING);
+        record.acknowledge();
+        mClock.advance(Duration.ofSeconds(121));
+        ledger.expire();
+        RequestId before = id(5);
+        RequestId next =
+                new RequestId(before.entryNode(), before.entryIncarnation() - 1, before.sequence());
+        assertTrue(ledger.admit(ledger.openSession(), next) instanceof AdmitResult.Admitted);
+    }
+
     /** Guards against an expired request that is reported as not run or admitted again. */
     @Test
     public void should_fence_and_report_forgotten_after_retention() {
