--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -91,6 +91,12 @@
         }
     }
 
+    /** Starts no further attempts and withdraws those that wait, because this node is stopping. */
+    void withdrawForShutdown() {
+        mCounter.stop();
+        mActiveAttempts.forEach(Attempt::withdraw);
+    }
+
     /** Answers the request with its currently known outcome because this node is stopping. */
     void abortForShutdown() {
         giveUp("the entry node is shutting down");
@@ -352,7 +358,7 @@
                     mLastRefusalDetail = refused.reason() + ": " + refused.detail();
                     mRefusal = Optional.of(refused.reason());
                     end(AttemptResult.ofRefusal(refused.reason()));
-                    recordHealthRefusal(refused.reason());
+                    mTried.addRefusal(mMember.endpoint().id(), refused.reason());
                     acknowledge();
                     retryAfterRefusal(refused.reason());
                 }
@@ -374,14 +380,6 @@
             }
         }
 
-        private void recordHealthRefusal(RefusalReason reason) {
-            if (reason == RefusalReason.SUSPECT) {
-                mTried.addSuspect(mMember.endpoint().id());
-            } else if (reason == RefusalReason.UNPROVEN) {
-                mTried.addUnproven(mMember.endpoint().id());
-            }
-        }
-
         /** Records that this attempt may have been executed, unless it was never submitted. */
         private void recordPossibleExecution(String detail) {
             if (submission().isPresent() && !mPossiblyExecuted.contains(this)) {
@@ -445,7 +443,7 @@
                 // theirs.
                 cancelOtherAttempts();
                 mResponse.start(mId, mBuffer.status(), mBuffer.headers());
-                sendPart(mBuffer.body(), false);
+                sendPart(mBuffer.takeBody(), false);
                 sendPart(data, last);
             }
             if (last && !mDone && !mClosed) {
@@ -456,7 +454,10 @@
         /** Buffers a small response, so that nothing is sent before it is complete. */
         private void bufferBody(byte[] data, boolean last) {
             mBuffer.append(data);
-            if (last && shouldRetryFailure()) {
+            if (!last && mBuffer.hasDroppedLongBody()) {
+                cancel();
+                sendBuffered();
+            } else if (last && shouldRetryFailure()) {
                 end(AttemptResult.REFUSED);
                 acknowledge();
                 mFallback = Optional.of(this);
@@ -479,11 +480,9 @@
         }
 
         private void cancelOtherAttempts() {
-            for (Attempt other : List.copyOf(mActiveAttempts)) {
-                if (other != this) {
-                    other.cancel();
-                }
-            }
+            List.copyOf(mActiveAttempts).stream()
+                    .filter(other -> other != this)
+                    .forEach(Attempt::cancel);
         }
 
         private void sendBuffered() {
@@ -576,6 +575,10 @@
             return mRefusal.map(RefusalReason::name).orElse(result.name());
         }
 
+        private void withdraw() {
+            AttemptWithdrawal.send(mServices, mEventLoop, mId, submission(), this::handle);
+        }
+
         private void cancel() {
             if (!mClosed) {
                 end(AttemptResult.SERVER_FAILED);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -26,10 +26,15 @@
 public final class CallerServer {
     private static final EventLogger LOGGER = EventLogger.forComponent("callers");
 
+    // Each one may hold up to 320 KiB: its initial credit and what was buffered before it.
+    private static final int MAXIMUM_OVERTAKING_REQUESTS = 192;
+
     private final Channel mListener;
     private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger mActiveRequests = new AtomicInteger();
     private final AtomicLong mLastSequence = new AtomicLong();
+    private final OvertakingLimit mOvertakingLimit =
+            new OvertakingLimit(MAXIMUM_OVERTAKING_REQUESTS);
     private final EntryServices mServices;
     private final RequestPreparer mPreparer;
     private volatile boolean mDraining;
@@ -116,10 +121,12 @@
 
     /**
      * Asks callers to reconnect to another node. Each further response carries {@code Connection:
-     * close} and closes its connection.
+     * close} and closes its connection. Behind a response that has started already, no request is
+     * read before the response has ended.
      */
     public void startDraining() {
         mDraining = true;
+        forEachConnection(CallerConnection::updateReading);
     }
 
     /** Stops accepting connections. Open connections stay open. */
@@ -135,6 +142,11 @@
         mRefusing = true;
     }
 
+    /** Refuses the requests in progress that no backend server has got yet. */
+    public void withdrawRequests() {
+        forEachConnection(CallerConnection::withdrawRequests);
+    }
+
     /** Answers every request in progress with its currently known outcome. */
     public void abortRequests() {
         forEachConnection(CallerConnection::abortRequests);
@@ -177,6 +189,11 @@
         mConnections.close().awaitUninterruptibly();
     }
 
+    /** Returns the limit that all connections share. */
+    OvertakingLimit overtakingLimit() {
+        return mOvertakingLimit;
+    }
+
     RequestPreparer preparer() {
         return mPreparer;
     }
