--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/OutcomeRequestHandlerTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/OutcomeRequestHandlerTest.java
@@ -75,7 +75,7 @@
 
         @Override
         public Exchange submit(long session, ExecutionRequest request, ResponseListener listener) {
-            throw new UnsupportedOperationException();
+            throw new AssertionError("the handler only queries outcomes");
         }
 
         @Override
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -12,16 +12,9 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.OptionalLong;
-import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.ManualClock;
-import org.arbutuslock.api.RequestId;
-import org.arbutuslock.api.WorkClass;
-import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
-import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.dialect.ResponseKind;
 import org.arbutuslock.internal.messages.HeaderField;
-import org.arbutuslock.internal.progress.SubmissionRequirements;
 import org.arbutuslock.internal.routing.HeaderAccessor;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -33,7 +26,6 @@
  * earlier responses, responses that end early, and bytes without end.
  */
 public class BackendResponseTest {
-    private static final String NAME = "x-name";
     private static final String LENGTH =
             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Seal: 1\r\n\r\nbody";
     private static final String CHUNKS =
@@ -184,8 +176,8 @@
         List<BackendEvent> events = exchange("POST", "first", REFUSAL);
         assertEquals(events, List.of(new BackendEvent.NotExecuted(false)));
         assertTrue(mConnection.isReusable());
-        assertFalse(mConnection.isUnambiguousFor(request("POST", "first")));
-        assertTrue(mConnection.isUnambiguousFor(request("POST", "second")));
+        assertFalse(mConnection.isUnambiguousFor(NamedRequests.create("POST", "first")));
+        assertTrue(mConnection.isUnambiguousFor(NamedRequests.create("POST", "second")));
     }
 
     @DataProvider
@@ -203,8 +195,8 @@
     public void should_not_carry_a_request_again_that_was_sent_on_the_connection(String response) {
         exchange("GET", "first", response);
         assertTrue(mConnection.isReusable());
-        assertFalse(mConnection.isUnambiguousFor(request("GET", "first")));
-        assertTrue(mConnection.isUnambiguousFor(request("GET", "second")));
+        assertFalse(mConnection.isUnambiguousFor(NamedRequests.create("GET", "first")));
+        assertTrue(mConnection.isUnambiguousFor(NamedRequests.create("GET", "second")));
     }
 
     @DataProvider
@@ -349,7 +341,7 @@
     public void should_not_offer_a_connection_with_bytes_behind_the_response(String extra) {
         List<Boolean> reusable = new ArrayList<>();
         mConnection.send(
-                request("GET", "first"),
+                NamedRequests.create("GET", "first"),
                 1_000,
                 event -> {
                     if (isEnd(event)) {
@@ -388,7 +380,9 @@
         mDialect.mKinds.add(ResponseKind.NOT_EXECUTED);
         List<Boolean> reusable = new ArrayList<>();
         mConnection.send(
-                request("POST", "first"), 1_000, end -> reusable.add(mConnection.isReusable()));
+                NamedRequests.create("POST", "first"),
+                1_000,
+                end -> reusable.add(mConnection.isReusable()));
         receive("HTTP/1.1 503 Busy\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(100_000));
         assertEquals(reusable, List.of(false));
         assertFalse(mChannel.isOpen());
@@ -425,7 +419,7 @@
 
     private List<BackendEvent> exchange(String method, String name, String response) {
         List<BackendEvent> events = new ArrayList<>();
-        mConnection.send(request(method, name), 1_000, events::add);
+        mConnection.send(NamedRequests.create(method, name), 1_000, events::add);
         mChannel.runPendingTasks();
         mChannel.releaseOutbound();
         if (!response.isEmpty()) {
@@ -434,58 +428,15 @@
         return events;
     }
 
-    private static ExecutionRequest request(String method, String name) {
-        return new ExecutionRequest(
-                new RequestId("a", 9, 16),
-                new EndpointId("orders", "orders-1"),
-                method,
-                "/price",
-                List.of(new HeaderField(NAME, name)),
-                new byte[0],
-                WorkClass.SHORT,
-                true,
-                "",
-                1,
-                5,
-                1_000_000_000L,
-                SubmissionRequirements.NONE);
-    }
-
     /**
      * Classifies responses as the test says, as answers when it says nothing; by their names when
      * the test asks for it.
      */
-    private static final class ScriptedDialect implements RequestDialect {
+    private static final class ScriptedDialect extends NamedRequests.Dialect {
         private final Deque<ResponseKind> mKinds = new ArrayDeque<>();
         private final List<Boolean> mPositions = new ArrayList<>();
         private boolean mNamed;
 
-        @Override
-        public String requestName(HeaderAccessor headers) {
-            return headers.firstValue(NAME);
-        }
-
-        @Override
-        public OptionalLong callerTimeoutMillis(HeaderAccessor headers) {
-            return OptionalLong.empty();
-        }
-
-        @Override
-        public List<HeaderField> forwardedHeaders(List<HeaderField> received) {
-            return received;
-        }
-
-        @Override
-        public List<HeaderField> backendHeaders(
-                RequestId id, String backendServer, long remainingMillis) {
-            return List.of();
-        }
-
-        @Override
-        public boolean mayRepeatAsProbe() {
-            return false;
-        }
-
         @Override
         public ResponseKind classifyResponse(
                 List<HeaderField> request,
@@ -493,7 +444,9 @@
                 HeaderAccessor response,
                 boolean firstOnConnection) {
             mPositions.add(firstOnConnection);
-            if (mNamed && !HeaderField.find(request, NAME).equals(response.firstValue(NAME))) {
+            if (mNamed
+                    && !HeaderField.find(request, NamedRequests.NAME)
+                            .equals(response.firstValue(NamedRequests.NAME))) {
                 return ResponseKind.OTHER_REQUEST;
             }
             return mKinds.isEmpty() ? ResponseKind.ANSWER : mKinds.remove();
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/ExtraResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/ExtraResponseTest.java
@@ -9,17 +9,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Random;
-import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.ManualClock;
-import org.arbutuslock.api.RequestId;
-import org.arbutuslock.api.WorkClass;
-import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.dialect.ResponseKind;
 import org.arbutuslock.internal.messages.HeaderField;
-import org.arbutuslock.internal.progress.SubmissionRequirements;
 import org.arbutuslock.internal.routing.HeaderAccessor;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -30,7 +24,6 @@
  * status and body stands behind it.
  */
 public class ExtraResponseTest {
-    private static final String NAME = "x-name";
     private static final String TRUE_BODY = "the whole body";
     private static final long SEED = Long.getLong("arbutuslock.seed", 20261205);
 
@@ -123,11 +116,11 @@
         BackendConnection connection =
                 new BackendConnection(dialect, 1, new DroppedResponseLog(clock, dialect));
         EmbeddedChannel channel = new EmbeddedChannel(connection.handlers());
-        connection.send(request("GET", "first"), 1_000, event -> {});
+        connection.send(NamedRequests.create("GET", "first"), 1_000, event -> {});
         receive(channel, response(200, "first", "Content-Length: 0\r\nX-Seal: 1\r\n\r\n"));
         assertTrue(connection.isReusable());
         List<BackendEvent> events = new ArrayList<>();
-        connection.send(request(method, "second"), 1_000, events::add);
+        connection.send(NamedRequests.create(method, "second"), 1_000, events::add);
         for (int from = 0; from < split.length(); ) {
             int until = Math.min(split.length(), from + 1 + random.nextInt(split.length()));
             receive(channel, split.substring(from, until));
@@ -166,62 +159,19 @@
         }
     }
 
-    private static ExecutionRequest request(String method, String name) {
-        return new ExecutionRequest(
-                new RequestId("a", 9, 16),
-                new EndpointId("orders", "orders-1"),
-                method,
-                "/price",
-                List.of(new HeaderField(NAME, name)),
-                new byte[0],
-                WorkClass.SHORT,
-                true,
-                "",
-                1,
-                5,
-                1_000_000_000L,
-                SubmissionRequirements.NONE);
-    }
-
     /** Identifies responses by their names alone. */
-    private static final class NamedDialect implements RequestDialect {
-        @Override
-        public String requestName(HeaderAccessor headers) {
-            return headers.firstValue(NAME);
-        }
-
-        @Override
-        public OptionalLong callerTimeoutMillis(HeaderAccessor headers) {
-            return OptionalLong.empty();
-        }
-
-        @Override
-        public List<HeaderField> forwardedHeaders(List<HeaderField> received) {
-            return received;
-        }
-
-        @Override
-        public List<HeaderField> backendHeaders(
-                RequestId id, String backendServer, long remainingMillis) {
-            return List.of();
-        }
-
-        @Override
-        public boolean mayRepeatAsProbe() {
-            return false;
-        }
-
+    private static final class NamedDialect extends NamedRequests.Dialect {
         @Override
         public ResponseKind classifyResponse(
                 List<HeaderField> request,
                 int status,
                 HeaderAccessor response,
                 boolean firstOnConnection) {
-            String name = response.firstValue(NAME);
+            String name = response.firstValue(NamedRequests.NAME);
             if (name == null) {
                 return ResponseKind.UNIDENTIFIED;
             }
-            return name.equals(HeaderField.find(request, NAME))
+            return name.equals(HeaderField.find(request, NamedRequests.NAME))
                     ? ResponseKind.ANSWER
                     : ResponseKind.OTHER_REQUEST;
         }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/ResponseFramingTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/ResponseFramingTest.java
@@ -9,16 +9,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalLong;
-import org.arbutuslock.api.EndpointId;
 import org.arbutuslock.api.ManualClock;
-import org.arbutuslock.api.RequestId;
-import org.arbutuslock.api.WorkClass;
-import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.internal.dialect.RequestDialect;
 import org.arbutuslock.internal.dialect.ResponseKind;
 import org.arbutuslock.internal.messages.HeaderField;
-import org.arbutuslock.internal.progress.SubmissionRequirements;
 import org.arbutuslock.internal.routing.HeaderAccessor;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -171,7 +165,7 @@
 
     private List<BackendEvent> exchange(String response) {
         List<BackendEvent> events = new ArrayList<>();
-        mConnection.send(request(), 1_000, events::add);
+        mConnection.send(NamedRequests.create("GET", ""), 1_000, events::add);
         mChannel.runPendingTasks();
         mChannel.releaseOutbound();
         receive(response);
@@ -182,23 +176,6 @@
         mChannel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
     }
 
-    private static ExecutionRequest request() {
-        return new ExecutionRequest(
-                new RequestId("a", 9, 16),
-                new EndpointId("orders", "orders-1"),
-                "GET",
-                "/price",
-                List.of(),
-                new byte[0],
-                WorkClass.SHORT,
-                true,
-                "",
-                1,
-                5,
-                1_000_000_000L,
-                SubmissionRequirements.NONE);
-    }
-
     /** Bytes of a faulty server: a start, and a rest that it repeats without end. */
     private record EndlessBytes(String label, String start, String rest) {
         @Override
@@ -208,33 +185,7 @@
     }
 
     /** Takes every response with status 201 for the response to another request. */
-    private static final class ExtraResponseDialect implements RequestDialect {
-        @Override
-        public String requestName(HeaderAccessor headers) {
-            return "";
-        }
-
-        @Override
-        public OptionalLong callerTimeoutMillis(HeaderAccessor headers) {
-            return OptionalLong.empty();
-        }
-
-        @Override
-        public List<HeaderField> forwardedHeaders(List<HeaderField> received) {
-            return received;
-        }
-
-        @Override
-        public List<HeaderField> backendHeaders(
-                RequestId id, String backendServer, long remainingMillis) {
-            return List.of();
-        }
-
-        @Override
-        public boolean mayRepeatAsProbe() {
-            return false;
-        }
-
+    private static final class ExtraResponseDialect extends NamedRequests.Dialect {
         @Override
         public ResponseKind classifyResponse(
                 List<HeaderField> request,
