Log what admission control expected of a request that it refuses

Cause: a refusal by DEADLINE named neither the expected wait nor the expected latency nor the time left, and the home node did not know the route.

Change: REQUEST_NOT_ADMITTED (4012) at the home node, at most 20 lines a second. A submission names its route, from version 2 of the protocol between nodes on; a session with a node of version 1 leaves it out.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RoutedRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RoutedRequest.java
@@ -55,6 +55,7 @@
                 tenantWeight,
                 route.priority(),
                 deadlineNanos,
-                requirements);
+                requirements,
+                route.name());
     }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/exchange/ExecutionRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/exchange/ExecutionRequest.java
@@ -23,6 +23,8 @@
  * @param priority 0 to 9
  * @param deadlineNanos reading of the clock at which the caller gives up
  * @param requirements latency objective, required health and whether this is a retry
+ * @param route name of the route; empty when the request has none or its entry node does not state
+ *     it
  */
 public record ExecutionRequest(
         RequestId id,
@@ -37,7 +39,8 @@
         int tenantWeight,
         int priority,
         long deadlineNanos,
-        SubmissionRequirements requirements) {
+        SubmissionRequirements requirements,
+        String route) {
     /** Copies the list of headers. */
     public ExecutionRequest {
         headers = List.copyOf(headers);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/EndpointRuntime.java
@@ -14,6 +14,7 @@
 import org.arbutuslock.api.WorkClass;
 import org.arbutuslock.daemon.internal.exchange.ExecutionRequest;
 import org.arbutuslock.internal.admission.AdmissionController;
+import org.arbutuslock.internal.admission.AdmissionEstimate;
 import org.arbutuslock.internal.admission.AdmissionSettings;
 import org.arbutuslock.internal.admission.Completion;
 import org.arbutuslock.internal.admission.Decisions;
@@ -37,6 +38,9 @@
 public final class EndpointRuntime {
     private static final EventLogger LOGGER = EventLogger.forComponent("home");
     private static final int SUSPICION_LINES_PER_SECOND = 10;
+    private static final int REFUSAL_LINES_PER_SECOND = 20;
+    private static final LogRateLimiter REFUSAL_LINE_LIMIT =
+            new LogRateLimiter(REFUSAL_LINES_PER_SECOND);
     private static final LogRateLimiter SUSPICION_LINE_LIMIT =
             new LogRateLimiter(SUSPICION_LINES_PER_SECOND);
 
@@ -244,7 +248,7 @@
             case OfferResult.Dispatch<HomeExchange>(Ticket<HomeExchange> ticket) ->
                     dispatch(ticket.request());
             case OfferResult.Queued<HomeExchange>(var displaced) -> {
-                displaced.forEach(EndpointRuntime::refuse);
+                displaced.forEach(this::refuse);
                 startPolling();
             }
             case OfferResult.Refused<HomeExchange>(Refusal<HomeExchange> refusal) ->
@@ -297,7 +301,7 @@
     }
 
     private void apply(Decisions<HomeExchange> decisions) {
-        decisions.refuse().forEach(EndpointRuntime::refuse);
+        decisions.refuse().forEach(this::refuse);
         decisions.dispatch().forEach(ticket -> dispatch(ticket.request()));
         updateLoad();
     }
@@ -332,13 +336,37 @@
         mPool.acquire(exchange.request(), exchange::handleConnection);
     }
 
-    private static void refuse(Refusal<HomeExchange> refusal) {
+    private void refuse(Refusal<HomeExchange> refusal) {
+        logRefusal(refusal);
         long retryAfter = TimeUnit.NANOSECONDS.toMillis(refusal.retryAfterNanos());
         refusal.ticket()
                 .request()
                 .refuse(refusal.reason(), "try again after " + retryAfter + " ms");
     }
 
+    private void logRefusal(Refusal<HomeExchange> refusal) {
+        long leftOut = REFUSAL_LINE_LIMIT.tryAcquire(mClock.nanoTime());
+        if (leftOut == LogRateLimiter.SUPPRESSED) {
+            return;
+        }
+        ExecutionRequest request = refusal.ticket().request().request();
+        AdmissionEstimate estimate = refusal.estimate();
+        LOGGER.log(
+                Event.REQUEST_NOT_ADMITTED,
+                mDialect.requestName(request.headers()),
+                request.id().format(),
+                mId,
+                request.route(),
+                refusal.reason(),
+                TimeUnit.NANOSECONDS.toMillis(estimate.remainingNanos()),
+                TimeUnit.NANOSECONDS.toMillis(estimate.waitNanos()),
+                TimeUnit.NANOSECONDS.toMillis(estimate.latencyNanos()),
+                estimate.waiting(),
+                estimate.inFlight(),
+                estimate.limit(),
+                leftOut);
+    }
+
     private void startPolling() {
         if (!mPolling) {
             mPolling = true;
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeService.java
@@ -263,7 +263,8 @@
                         1,
                         PROBE_PRIORITY,
                         deadline,
-                        SubmissionRequirements.NONE);
+                        SubmissionRequirements.NONE,
+                        "");
         if (mLedger.admit(mProbeSession, probeId)
                 instanceof AdmitResult.Admitted(ExecutionRecord record)) {
             // A probe has no entry node that would acknowledge its outcome.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ClientSession.java
@@ -104,8 +104,8 @@
     void opened() {
         send(
                 new PeerMessage.Hello(
-                        PROTOCOL_VERSION,
-                        PROTOCOL_VERSION,
+                        LOWEST_VERSION,
+                        HIGHEST_VERSION,
                         mLocalNode.name(),
                         mLocalNode.incarnation(),
                         mLocalNode.region(),
@@ -141,8 +141,14 @@
     }
 
     private void completeHello(PeerMessage.HelloReply reply) {
-        if (reply.version() != PROTOCOL_VERSION) {
-            close("protocol version " + reply.version() + ", allowed " + PROTOCOL_VERSION);
+        if (reply.version() < LOWEST_VERSION || reply.version() > HIGHEST_VERSION) {
+            close(
+                    "protocol version "
+                            + reply.version()
+                            + ", allowed "
+                            + LOWEST_VERSION
+                            + " to "
+                            + HIGHEST_VERSION);
             return;
         }
         setPeerLocation(mLocalNode, reply.region(), reply.availabilityZone());
@@ -314,7 +320,8 @@
                     request.tenantWeight(),
                     request.priority(),
                     (int) Math.clamp(remaining, 0, Integer.MAX_VALUE),
-                    request.requirements());
+                    request.requirements(),
+                    mRemote.version() >= PeerMessage.ROUTE_VERSION ? request.route() : "");
         }
 
         private void sendBody(byte[] body) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerChannel.java
@@ -25,7 +25,8 @@
  * Confined to the event loop of its channel, except the methods that say "Any thread".
  */
 abstract class PeerChannel extends SimpleChannelInboundHandler<PeerMessage> {
-    static final int PROTOCOL_VERSION = 1;
+    static final int LOWEST_VERSION = 1;
+    static final int HIGHEST_VERSION = PeerMessage.ROUTE_VERSION;
 
     // Gossip contacts random nodes. Without this limit a node would keep a session to every node of
     // the fleet, and the heartbeats would exceed the control bandwidth of a node.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/ServerSession.java
@@ -85,18 +85,16 @@
         mPeerName = hello.node();
         setPeerLocation(mLocalNode, hello.region(), hello.availabilityZone());
         mSession = mHomeNode.openSession(() -> close("the session is fenced"));
+        int version = Math.min(hello.highestVersion(), HIGHEST_VERSION);
         PeerMessage reply =
                 new PeerMessage.HelloReply(
-                        PROTOCOL_VERSION,
+                        version,
                         mLocalNode.name(),
                         mLocalNode.incarnation(),
                         mSession,
                         mLocalNode.region(),
                         mLocalNode.availabilityZone());
-        boolean overlap =
-                hello.lowestVersion() <= PROTOCOL_VERSION
-                        && hello.highestVersion() >= PROTOCOL_VERSION;
-        if (!overlap) {
+        if (hello.lowestVersion() > HIGHEST_VERSION || version < LOWEST_VERSION) {
             closeAfter(
                     reply,
                     "protocol versions "
@@ -104,7 +102,9 @@
                             + " to "
                             + hello.highestVersion()
                             + ", allowed "
-                            + PROTOCOL_VERSION);
+                            + LOWEST_VERSION
+                            + " to "
+                            + HIGHEST_VERSION);
             return;
         }
         LOGGER.log(Event.SESSION_ACCEPTED, mPeerName, hello.incarnation(), mSession);
@@ -363,7 +363,8 @@
                     mSubmit.tenantWeight(),
                     mSubmit.priority(),
                     mDeadlineNanos,
-                    mSubmit.requirements());
+                    mSubmit.requirements(),
+                    mSubmit.route());
         }
     }
 
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/HomeNodeClientTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/HomeNodeClientTest.java
@@ -53,6 +53,7 @@
                 1,
                 5,
                 1_000_000_000L,
-                SubmissionRequirements.NONE);
+                SubmissionRequirements.NONE,
+                "");
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendConnectionTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendConnectionTest.java
@@ -47,6 +47,7 @@
                 1,
                 5,
                 1_000_000_000L,
-                SubmissionRequirements.NONE);
+                SubmissionRequirements.NONE,
+                "");
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/LocalEndpointsTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/LocalEndpointsTest.java
@@ -224,6 +224,7 @@
                 1,
                 5,
                 Clock.system().nanoTime() + TimeUnit.SECONDS.toNanos(30),
-                SubmissionRequirements.NONE);
+                SubmissionRequirements.NONE,
+                "");
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/NamedRequests.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/NamedRequests.java
@@ -32,7 +32,8 @@
                 1,
                 5,
                 1_000_000_000L,
-                SubmissionRequirements.NONE);
+                SubmissionRequirements.NONE,
+                "");
     }
 
     /** Leaves it to a test to which request a response belongs. */
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/UnreadResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/UnreadResponseTest.java
@@ -165,6 +165,7 @@
                 1,
                 5,
                 Clock.system().nanoTime() + TimeUnit.SECONDS.toNanos(30),
-                SubmissionRequirements.NONE);
+                SubmissionRequirements.NONE,
+                "");
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/SessionIsolationTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/SessionIsolationTest.java
@@ -179,6 +179,18 @@
         assertTrue(mChannel.isOpen());
     }
 
+    /** Guards against requests that a node of an earlier release cannot read. */
+    @Test
+    public void should_name_the_route_only_to_a_node_that_knows_the_field() throws Exception {
+        for (int version = 1; version <= PeerMessage.ROUTE_VERSION; version++) {
+            setUp();
+            startClient(version);
+            submitToPeer(List.of());
+            PeerMessage.Submit submit = (PeerMessage.Submit) readSent().getFirst();
+            assertEquals(submit.route(), version == 1 ? "" : SessionRequests.ROUTE);
+        }
+    }
+
     private void startServer() throws Exception {
         new ServerSession(LOCAL, new ManualClock(), new SessionCounts(), mHome, mDispatcher)
                 .install(mChannel);
@@ -188,6 +200,10 @@
     }
 
     private void startClient() throws Exception {
+        startClient(PeerMessage.ROUTE_VERSION);
+    }
+
+    private void startClient(int version) throws Exception {
         mClient =
                 new ClientSession(
                         LOCAL,
@@ -198,7 +214,7 @@
                         () -> {});
         mClient.install(mChannel);
         mChannel.pipeline().fireChannelActive();
-        receive(new PeerMessage.HelloReply(1, "b", 1, 1, "west", "calgary"));
+        receive(new PeerMessage.HelloReply(version, "b", 1, 1, "west", "calgary"));
         readSent();
     }
 
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/SessionRequests.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/sessions/SessionRequests.java
@@ -13,6 +13,9 @@
 final class SessionRequests {
     private static final EndpointId ENDPOINT = new EndpointId("orders", "orders-1");
 
+    /** Route of each request. */
+    static final String ROUTE = "menu";
+
     private SessionRequests() {}
 
     /** Creates a request that never reaches its deadline. */
@@ -30,7 +33,8 @@
                 1,
                 5,
                 Long.MAX_VALUE,
-                SubmissionRequirements.NONE);
+                SubmissionRequirements.NONE,
+                ROUTE);
     }
 
     /** Creates the submission of an order. */
@@ -49,6 +53,7 @@
                 1,
                 5,
                 1_000,
-                SubmissionRequirements.NONE);
+                SubmissionRequirements.NONE,
+                ROUTE);
     }
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/AdmissionController.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/AdmissionController.java
@@ -383,7 +383,21 @@
 
     private Refusal<T> close(Ticket<T> ticket, RefusalReason reason) {
         ticket.enter(Ticket.Stage.CLOSED);
-        return new Refusal<>(ticket, reason, expectedWaitNanos(ticket.workClass()));
+        return new Refusal<>(
+                ticket, reason, expectedWaitNanos(ticket.workClass()), estimate(ticket));
+    }
+
+    private AdmissionEstimate estimate(Ticket<T> ticket) {
+        WorkClass workClass = ticket.workClass();
+        int ahead = queue(workClass).countAhead(ticket);
+        boolean free = ahead == 0 && hasSlot(workClass);
+        return new AdmissionEstimate(
+                ticket.remainingNanos(mClock.nanoTime()),
+                free ? 0 : (long) waitNanos(workClass, ahead),
+                (long) mLimit.latencyNanos(workClass),
+                waiting(),
+                inFlight(),
+                limit());
     }
 
     private WaitingQueue<T> queue(WorkClass workClass) {
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/Refusal.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/Refusal.java
@@ -8,6 +8,8 @@
  * @param ticket ticket of the request
  * @param reason reason for the refusal
  * @param retryAfterNanos estimated nanoseconds until this endpoint would accept the request
+ * @param estimate what was expected of the request
  * @param <T> type of the request
  */
-public record Refusal<T>(Ticket<T> ticket, RefusalReason reason, long retryAfterNanos) {}
+public record Refusal<T>(
+        Ticket<T> ticket, RefusalReason reason, long retryAfterNanos, AdmissionEstimate estimate) {}
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -114,6 +114,12 @@
     /** Idle connections are left alone because the request was sent on them before. */
     BACKEND_REQUEST_REPEATED(
             4011, Level.INFO, "request={0} endpoint={1} connectionsLeftAlone={2} leftOut={3}"),
+    /** Admission control refused a request that was not sent to its backend server. */
+    REQUEST_NOT_ADMITTED(
+            4012,
+            Level.INFO,
+            "request={0} id={1} endpoint={2} route={3} refusal={4} left={5} ms wait={6} ms"
+                    + " latency={7} ms waiting={8} inFlight={9} limit={10} leftOut={11}"),
     /** An endpoint changed its state. */
     ENDPOINT_STATE_CHANGED(5001, Level.INFO, "endpoint {0} {1} -> {2}: {3}; {4}"),
     /** A node was added to the fleet. */
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessage.java
@@ -17,6 +17,9 @@
     /** Largest part of a request or response body in one message, in bytes. */
     int MAXIMUM_BODY_PART_BYTES = 16 * 1024;
 
+    /** Lowest protocol version in which a {@link Submit} may name its route. */
+    int ROUTE_VERSION = 2;
+
     /**
      * First message of a session, sent by the connecting node.
      *
@@ -87,6 +90,8 @@
      * @param priority priority, 0 to 9
      * @param remainingMillis time left until the deadline in milliseconds, 0 when it has passed
      * @param requirements latency objective and health of the endpoint that the entry node requires
+     * @param route name of the route, or empty when the request has none or the session has a
+     *     version below {@link #ROUTE_VERSION}
      */
     record Submit(
             long stream,
@@ -102,7 +107,8 @@
             int tenantWeight,
             int priority,
             int remainingMillis,
-            SubmissionRequirements requirements)
+            SubmissionRequirements requirements,
+            String route)
             implements PeerMessage {
         /** Copies the list of headers. */
         public Submit {
--- a/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/messages/PeerMessageCodec.java
@@ -122,25 +122,30 @@
                         "message", "the array is empty, a message type is required");
             }
             MessageType type = reader.readEnum("type", MessageType.values());
-            if (fields != type.fieldCount()) {
+            if (fields != type.fieldCount() && !mayNameRoute(type, fields)) {
                 throw reader.formatError(
                         "message",
                         fields + " fields, allowed " + type.fieldCount() + " for " + type);
             }
-            PeerMessage message = readFields(reader, type);
+            PeerMessage message = readFields(reader, type, fields);
             reader.expectEnd();
             return message;
         }
     }
 
-    private static PeerMessage readFields(MessageReader reader, MessageType type)
+    /** Returns whether this is a submission with one field more, the name of its route. */
+    private static boolean mayNameRoute(MessageType type, int fields) {
+        return type == MessageType.SUBMIT && fields == type.fieldCount() + 1;
+    }
+
+    private static PeerMessage readFields(MessageReader reader, MessageType type, int fields)
             throws MessageFormatException {
         return switch (type) {
             case HELLO -> readHello(reader);
             case HELLO_REPLY -> readHelloReply(reader);
             case HEARTBEAT -> new PeerMessage.Heartbeat(readNumber(reader, "number"));
             case HEARTBEAT_REPLY -> new PeerMessage.HeartbeatReply(readNumber(reader, "number"));
-            case SUBMIT -> readSubmit(reader);
+            case SUBMIT -> readSubmit(reader, mayNameRoute(type, fields));
             case REQUEST_BODY ->
                     new PeerMessage.RequestBody(
                             readNumber(reader, "stream"),
@@ -235,7 +240,10 @@
 
     private static void writeSubmit(MessageWriter writer, PeerMessage.Submit submit)
             throws MessageFormatException {
-        writeNumber(start(writer, MessageType.SUBMIT), "stream", submit.stream());
+        boolean namesRoute = !submit.route().isEmpty();
+        writer.writeArrayHeader(MessageType.SUBMIT.fieldCount() + (namesRoute ? 1 : 0))
+                .writeEnum(MessageType.SUBMIT);
+        writeNumber(writer, "stream", submit.stream());
         writeRequestId(writer, submit.requestId());
         writer.writeArrayHeader(2);
         writeName(writer, "service", submit.endpoint().service());
@@ -254,9 +262,13 @@
         writer.writeLong("objectiveMillis", requirements.objectiveMillis(), 1, Integer.MAX_VALUE)
                 .writeEnum(requirements.requiredHealth())
                 .writeBoolean(requirements.repetition());
+        if (namesRoute) {
+            writeText(writer, "route", submit.route());
+        }
     }
 
-    private static PeerMessage readSubmit(MessageReader reader) throws MessageFormatException {
+    private static PeerMessage readSubmit(MessageReader reader, boolean namesRoute)
+            throws MessageFormatException {
         return new PeerMessage.Submit(
                 readNumber(reader, "stream"),
                 readRequestId(reader),
@@ -274,7 +286,8 @@
                 new SubmissionRequirements(
                         reader.readInt("objectiveMillis", 1, Integer.MAX_VALUE),
                         reader.readEnum("health", RequiredHealth.values()),
-                        reader.readBoolean("repetition")));
+                        reader.readBoolean("repetition")),
+                namesRoute ? readText(reader, "route") : "");
     }
 
     private static EndpointId readEndpoint(MessageReader reader) throws MessageFormatException {
--- a/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageBoundsTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageBoundsTest.java
@@ -181,6 +181,7 @@
                 1,
                 5,
                 7_200_000,
-                SubmissionRequirements.NONE);
+                SubmissionRequirements.NONE,
+                "menu");
     }
 }
--- a/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageCodecTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/messages/PeerMessageCodecTest.java
@@ -34,6 +34,15 @@
         assertEquals(PeerMessageCodec.decode(PeerMessageCodec.encode(refusal)), refusal);
     }
 
+    /** Guards against nodes of two releases that cannot submit requests to each other. */
+    @Test
+    public void should_read_a_submission_without_a_route() throws Exception {
+        PeerMessage.Submit submit = submit("");
+        byte[] encoded = PeerMessageCodec.encode(submit);
+        assertEquals(encoded[0], (byte) (0x90 | MessageType.SUBMIT.fieldCount()));
+        assertEquals(PeerMessageCodec.decode(encoded), submit);
+    }
+
     @Test
     public void should_report_position_and_field_of_a_malformed_message() {
         byte[] encoded =
@@ -82,6 +91,10 @@
     }
 
     private static PeerMessage.Submit submit() {
+        return submit("menu");
+    }
+
+    private static PeerMessage.Submit submit(String route) {
         return new PeerMessage.Submit(
                 9,
                 new RequestId("calgary-a-1", 77, 12),
@@ -96,6 +109,7 @@
                 1,
                 5,
                 1_500,
-                SubmissionRequirements.NONE);
+                SubmissionRequirements.NONE,
+                route);
     }
 }
