Expect of a request what its route takes, not what others take

What callers saw: at a service that is short of servers, requests on a route that was added were refused as not run, with most of their second left, while the same servers answered the next one in 5 to 230 ms.

Cause: admission compared the time left with twice the wait and twice the average latency of all short requests of the server. Where others take 500 ms, a request with a second left fits in no queue. What is refused makes no sample, so that the estimate stays: a server whose average rose above twice the deadline refuses every request, even when it is idle.

Change: DeadlineCheck expects of a request what its route takes (RouteLatencies, the 256 routes that were used last). Requests that end at their deadline or are cancelled count as longer than the time that they had. Where the estimate is against a request and nothing was learnt about the route for a second, one request at a time is admitted; if it succeeds, its latency replaces the estimate. The expected wait counts once, since a request that waits takes no slot from others; the latency still counts twice.

--- a/kernel/src/main/java/org/arbutuslock/internal/admission/AdmissionController.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/AdmissionController.java
@@ -29,23 +29,6 @@
     public static final int POLL_INTERVAL_MILLIS = 5;
 
     private static final WorkClass[] CLASSES = WorkClass.values();
-    // A request is queued only if its deadline leaves twice the expected wait and twice the usual
-    // latency, since a refusal after the decision time would come too late for the caller. A
-    // request
-    // is refused instead of dispatched when less than half the usual latency remains.
-    private static final double SAFETY_FACTOR = 2.0;
-    // A request is refused when its expected wait exceeds WAIT_BOUND_LATENCIES times the usual
-    // latency, within these two bounds. With an upper bound of 1 s, recovery after a drop in load
-    // took more than 2 s in 2 of 20 simulated runs. A bound of half the deadline would be too
-    // high: short requests missed their deadline when long ones took the other slots in the
-    // meantime.
-    private static final long LOWEST_WAIT_BOUND_NANOS = 100_000_000L;
-    private static final long HIGHEST_WAIT_BOUND_NANOS = 500_000_000L;
-    private static final double WAIT_BOUND_LATENCIES = 5;
-    // A request with a latency objective may wait as long as its response is expected within this
-    // share of the objective. With the whole objective, one in six order requests was late at peak
-    // load.
-    private static final double OBJECTIVE_SHARE = 0.6;
     // Shares of the slot time of short and long work when both are queued at the same priority.
     // With 2 to 1, queued long requests kept short work slow for more than 2 s after a drop in load
     // in 1 of 80 runs.
@@ -54,6 +37,7 @@
     private final Clock mClock;
     private final AdmissionSettings mSettings;
     private final ConcurrencyLimit mLimit;
+    private final DeadlineCheck mDeadlines;
     private final List<WaitingQueue<T>> mQueues = new ArrayList<>();
     // In the order of arrival. May contain tickets that are no longer queued.
     private final ArrayDeque<Ticket<T>> mUndecided = new ArrayDeque<>();
@@ -75,6 +59,7 @@
         mClock = clock;
         mSettings = settings;
         mLimit = new ConcurrencyLimit(clock, settings);
+        mDeadlines = new DeadlineCheck(clock, mLimit);
         for (WorkClass workClass : CLASSES) {
             mQueues.add(new WaitingQueue<>());
         }
@@ -96,14 +81,14 @@
         if (queue(ticket.workClass()).size() == 0 && hasSlot(ticket.workClass())) {
             return dispatchOrRefuse(ticket, now);
         }
-        if (!canBeQueued(ticket, now)) {
+        if (!mayWait(ticket, now)) {
             return new OfferResult.Refused<>(close(ticket, RefusalReason.DEADLINE));
         }
         return enqueue(ticket);
     }
 
     private OfferResult<T> dispatchOrRefuse(Ticket<T> ticket, long now) {
-        if (cannotMeetDeadline(ticket, now)) {
+        if (!mDeadlines.mayDispatch(ticket, now)) {
             return new OfferResult.Refused<>(close(ticket, RefusalReason.DEADLINE));
         }
         occupy(ticket, now);
@@ -168,12 +153,19 @@
                             + " cannot finish; call finished() once for each dispatched ticket");
         }
         long now = mClock.nanoTime();
-        mLimit.record(ticket.workClass(), ticket.inFlightNanos(now), completion, inFlight());
+        long latency = ticket.inFlightNanos(now);
+        mDeadlines.record(ticket, latency, completion);
+        mLimit.record(ticket.workClass(), latency, completion, inFlight());
         mInFlight[ticket.workClass().ordinal()]--;
-        ticket.enter(Ticket.Stage.CLOSED);
+        end(ticket);
         return fillSlots(new Decisions<>(), now);
     }
 
+    private void end(Ticket<T> ticket) {
+        ticket.enter(Ticket.Stage.CLOSED);
+        mDeadlines.ended(ticket);
+    }
+
     /**
      * Removes a request from the queue. A dispatched request is ended by {@link #finished} instead.
      *
@@ -184,7 +176,7 @@
         boolean waiting = ticket.stage() == Ticket.Stage.QUEUED;
         if (waiting) {
             removeQueued(ticket);
-            ticket.enter(Ticket.Stage.CLOSED);
+            end(ticket);
         }
         return waiting;
     }
@@ -221,7 +213,7 @@
             if (aged.stage() != Ticket.Stage.QUEUED) {
                 continue;
             }
-            if (canBeQueued(aged, now)) {
+            if (mayWait(aged, now)) {
                 aged.commit();
             } else {
                 removeQueued(aged);
@@ -245,6 +237,12 @@
         return (ahead + 1) * mLimit.latencyNanos(workClass) / slotsFor(workClass);
     }
 
+    private boolean mayWait(Ticket<T> ticket, long now) {
+        WorkClass workClass = ticket.workClass();
+        int ahead = queue(workClass).countAhead(ticket);
+        return mDeadlines.mayWait(ticket, waitNanos(workClass, ahead), now);
+    }
+
     private int slotsFor(WorkClass workClass) {
         return switch (workClass) {
             case SHORT -> Math.max(1, mLimit.limit() - mInFlight[WorkClass.LONG.ordinal()]);
@@ -252,34 +250,6 @@
         };
     }
 
-    private boolean canBeQueued(Ticket<T> ticket, long now) {
-        int ahead = queue(ticket.workClass()).countAhead(ticket);
-        double wait = waitNanos(ticket.workClass(), ahead);
-        double latency = mLimit.latencyNanos(ticket.workClass());
-        return wait <= maximumWaitNanos(ticket, latency)
-                && SAFETY_FACTOR * (wait + latency) <= ticket.remainingNanos(now);
-    }
-
-    /**
-     * Returns the longest expected wait with which a request is queued. This is at least one
-     * latency, so that work that takes longer than the upper bound can be queued.
-     */
-    private static double maximumWaitNanos(Ticket<?> ticket, double latency) {
-        double bound =
-                Math.clamp(
-                        WAIT_BOUND_LATENCIES * latency,
-                        LOWEST_WAIT_BOUND_NANOS,
-                        HIGHEST_WAIT_BOUND_NANOS);
-        double withinObjective = ticket.objectiveNanos() * OBJECTIVE_SHARE - latency;
-        return Math.max(Math.max(bound, latency), withinObjective);
-    }
-
-    private boolean cannotMeetDeadline(Ticket<T> ticket, long now) {
-        double leastLatency = mLimit.latencyNanos(ticket.workClass()) / SAFETY_FACTOR;
-        long remaining = ticket.remainingNanos(now);
-        return remaining <= 0 || remaining < leastLatency;
-    }
-
     /**
      * Refuses all queued and all new requests until {@link #startCold()}. Dispatched requests
      * continue.
@@ -313,6 +283,7 @@
     public void startCold() {
         mDraining = false;
         mLimit.restart();
+        mDeadlines.restart();
     }
 
     private Decisions<T> fillSlots(Decisions<T> decisions, long now) {
@@ -320,7 +291,7 @@
         while (next != null) {
             Ticket<T> ticket = queue(next).poll();
             mByDeadline.remove(ticket);
-            if (cannotMeetDeadline(ticket, now)) {
+            if (!mDeadlines.mayDispatch(ticket, now)) {
                 decisions.refuse().add(close(ticket, RefusalReason.DEADLINE));
             } else {
                 addClassTime(next);
@@ -382,7 +353,7 @@
     }
 
     private Refusal<T> close(Ticket<T> ticket, RefusalReason reason) {
-        ticket.enter(Ticket.Stage.CLOSED);
+        end(ticket);
         return new Refusal<>(
                 ticket, reason, expectedWaitNanos(ticket.workClass()), estimate(ticket));
     }
@@ -394,7 +365,7 @@
         return new AdmissionEstimate(
                 ticket.remainingNanos(mClock.nanoTime()),
                 free ? 0 : (long) waitNanos(workClass, ahead),
-                (long) mLimit.latencyNanos(workClass),
+                (long) mDeadlines.latencyNanos(ticket),
                 waiting(),
                 inFlight(),
                 limit());
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/ConcurrencyLimit.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/ConcurrencyLimit.java
@@ -67,7 +67,7 @@
         switch (completion) {
             case SUCCESS -> recordSuccess(workClass.ordinal(), latencyNanos, inFlight);
             case SHED -> recordShed(workClass);
-            case FAILED -> {}
+            case FAILED, UNFINISHED -> {}
         }
     }
 
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/Ticket.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/Ticket.java
@@ -20,6 +20,7 @@
     }
 
     private final T mRequest;
+    private final String mRoute;
     private final WorkClass mWorkClass;
     private final int mPriority;
     private final String mTenant;
@@ -31,11 +32,13 @@
     private long mArrivedNanos;
     private long mDispatchedNanos;
     private boolean mCommitted;
+    private boolean mTrial;
 
     /**
      * Creates a ticket without a latency objective.
      *
      * @param request the request
+     * @param route name of the route, whose requests are expected to take about the same time
      * @param workClass short or long work
      * @param priority 0 (dropped first) to 9 (dropped last)
      * @param tenant name of the tenant
@@ -44,18 +47,20 @@
      */
     public Ticket(
             T request,
+            String route,
             WorkClass workClass,
             int priority,
             String tenant,
             int tenantWeight,
             long deadlineNanos) {
-        this(request, workClass, priority, tenant, tenantWeight, deadlineNanos, 0);
+        this(request, route, workClass, priority, tenant, tenantWeight, deadlineNanos, 0);
     }
 
     /**
      * Creates a ticket with a latency objective.
      *
      * @param request the request
+     * @param route name of the route, whose requests are expected to take about the same time
      * @param workClass short or long work
      * @param priority 0 (dropped first) to 9 (dropped last)
      * @param tenant name of the tenant
@@ -66,6 +71,7 @@
      */
     public Ticket(
             T request,
+            String route,
             WorkClass workClass,
             int priority,
             String tenant,
@@ -80,6 +86,7 @@
                             + tenantWeight);
         }
         mRequest = request;
+        mRoute = route;
         mWorkClass = workClass;
         mPriority = priority;
         mTenant = tenant;
@@ -118,6 +125,10 @@
                 : 0;
     }
 
+    String route() {
+        return mRoute;
+    }
+
     int priority() {
         return mPriority;
     }
@@ -178,6 +189,15 @@
         return mCommitted;
     }
 
+    /** Marks a request that is admitted to measure the latency of its route. */
+    void markTrial() {
+        mTrial = true;
+    }
+
+    boolean isTrial() {
+        return mTrial;
+    }
+
     static int compareByDeadline(Ticket<?> left, Ticket<?> right) {
         long difference = left.mDeadlineNanos - right.mDeadlineNanos;
         return difference != 0
--- a/kernel/src/test/java/org/arbutuslock/internal/admission/AdmissionControllerTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/admission/AdmissionControllerTest.java
@@ -41,7 +41,7 @@
 
     private Ticket<String> ticket(WorkClass workClass, int priority, String tenant, int weight) {
         long deadline = mClock.nanoTime() + Duration.ofSeconds(1).toNanos();
-        return new Ticket<>(tenant, workClass, priority, tenant, weight, deadline);
+        return new Ticket<>(tenant, "menu", workClass, priority, tenant, weight, deadline);
     }
 
     private Ticket<String> shortTicket(String tenant) {
@@ -77,7 +77,8 @@
 
     private Ticket<String> withObjective(Duration objective) {
         long deadline = mClock.nanoTime() + Duration.ofSeconds(10).toNanos();
-        return new Ticket<>("any", WorkClass.SHORT, 5, "tenant", 1, deadline, objective.toNanos());
+        return new Ticket<>(
+                "any", "menu", WorkClass.SHORT, 5, "tenant", 1, deadline, objective.toNanos());
     }
 
     /** Guards against long requests that take every slot. */
--- a/testbed/src/main/java/org/arbutuslock/testbed/bench/ControlledPolicy.java
+++ b/testbed/src/main/java/org/arbutuslock/testbed/bench/ControlledPolicy.java
@@ -30,6 +30,7 @@
         Ticket<SimulatedRequest> ticket =
                 new Ticket<>(
                         request,
+                        request.workClass().name(),
                         request.workClass(),
                         PRIORITY,
                         "tenant",
