Give back the link budget that a response did not use

What callers would have seen: with no server of a service left in their region, one download in four and a half seconds and node was let through to another region; the others were refused with LINK_BUDGET, although a download of 90 KB uses a twelfth of what is taken for it.

A refused attempt cost 1 MiB as well.

Change: the bytes that were transferred replace the expected ones when the attempt ends. A request to a server on trial, which is not selected by the budget, takes its expected bytes too, so that it gives back no more.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooser.java
@@ -90,7 +90,11 @@
         if (idempotent && tried.isEmpty() && !view.mOnTrial.isEmpty()) {
             int draw = mRandom.get().nextInt(TRIAL_INTERVAL);
             if (draw < view.mOnTrial.size()) {
-                return Optional.of(view.mOnTrial.get(draw));
+                FleetSnapshot.Member onTrial = view.mOnTrial.get(draw);
+                if (isInOtherRegion(onTrial)) {
+                    mLinkBudget.take(expectedBytes(route));
+                }
+                return Optional.of(onTrial);
             }
         }
         SelectionResult result =
@@ -131,12 +135,15 @@
             case PATH_FAILED -> path.recordPathFailure();
             case SERVER_FAILED -> path.recordInconclusive();
         }
-        boolean otherRegion = distance(member.node()) == ZoneDistance.OTHER_REGION;
-        if (otherRegion && bytes > expectedBytes(route)) {
-            mLinkBudget.charge(bytes - expectedBytes(route));
+        if (isInOtherRegion(member)) {
+            mLinkBudget.settle(expectedBytes(route), bytes);
         }
     }
 
+    private boolean isInOtherRegion(FleetSnapshot.Member member) {
+        return distance(member.node()) == ZoneDistance.OTHER_REGION;
+    }
+
     private PathStatistics path(EndpointId endpoint) {
         return mPaths.computeIfAbsent(endpoint, id -> new PathStatistics(mClock));
     }
--- a/kernel/src/main/java/org/arbutuslock/internal/selection/RegionLinkBudget.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/selection/RegionLinkBudget.java
@@ -49,15 +49,25 @@
     }
 
     /**
-     * Takes bytes that were transferred in addition to the expected bytes. The bucket may become
+     * Takes bytes whether the bucket holds them or not.
+     *
+     * @param bytes expected bytes of request and response
+     */
+    public void take(long bytes) {
+        settle(0, bytes);
+    }
+
+    /**
+     * Replaces expected bytes that were taken by those that were transferred. The bucket may become
      * negative.
      *
-     * @param bytes bytes that were already transferred
+     * @param expectedBytes bytes that were taken
+     * @param bytes bytes that were transferred
      */
-    public void charge(long bytes) {
+    public void settle(long expectedBytes, long bytes) {
         long now = mClock.nanoTime();
-        long cost = (long) (bytes * mNanosPerByte);
-        mFullAtNanos.updateAndGet(current -> later(current, now) + cost);
+        long cost = (long) ((bytes - expectedBytes) * mNanosPerByte);
+        mFullAtNanos.updateAndGet(current -> later(later(current, now) + cost, now));
     }
 
     private static long later(long left, long right) {
