Take a request without a response as a lower bound of its latency

Cause: the estimate from censored samples (time spent, divided by the number of responses) rose to 11 to 24 s after a few requests of 4 s that hung. Hanging servers are found by their overdue requests, and requests that must not be repeated go to proven ones; admission has to say only whether the time is enough.

Change: the time that such a request had is a sample if it is above what was expected, and nothing otherwise. A free slot is refused only if half of that does not fit, as before.

--- a/kernel/src/main/java/org/arbutuslock/internal/admission/DeadlineCheck.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/DeadlineCheck.java
@@ -43,7 +43,8 @@
     void record(Ticket<?> ticket, long latencyNanos, Completion completion) {
         switch (completion) {
             case SUCCESS -> recordSuccess(ticket, latencyNanos);
-            case UNFINISHED -> mRoutes.record(ticket.route(), latencyNanos, false);
+            case UNFINISHED ->
+                    mRoutes.recordUnfinished(ticket.route(), latencyNanos, latencyNanos(ticket));
             case SHED, FAILED -> {}
         }
     }
@@ -52,7 +53,7 @@
         if (ticket.isTrial()) {
             mRoutes.recordTrial(ticket.route(), latencyNanos);
         } else {
-            mRoutes.record(ticket.route(), latencyNanos, true);
+            mRoutes.record(ticket.route(), latencyNanos);
         }
     }
 
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/RouteLatencies.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/RouteLatencies.java
@@ -7,8 +7,8 @@
 
 /**
  * Latency of each route at one backend server, from the requests of that route alone. A route whose
- * requests are refused yields no samples, so a trial request is due when the last sample is old and
- * when there is none.
+ * requests are refused yields no samples, so a trial request is due when its last request is long
+ * ago and when there is none.
  */
 final class RouteLatencies {
     private static final double SAMPLE_WEIGHT = 0.125;
@@ -17,28 +17,16 @@
     private static final long TRIAL_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
 
     private static final class Route {
-        // Averages over all requests, with and without a response: the time that each took, and
-        // the share that got a response.
-        private double mTimeNanos;
-        private double mFinished;
+        private double mLatencyNanos;
         private int mSamples;
-        private long mSampledNanos;
+        private boolean mAsked;
+        private long mAskedNanos;
         private int mTrials;
 
-        /**
-         * Returns the mean latency. Requests without a response count with the time that they had,
-         * as in the estimate of an exponential mean from censored samples. Without any response,
-         * one is assumed to come next.
-         */
-        private double latencyNanos() {
-            return mTimeNanos / Math.max(mFinished, 1.0 / (mSamples + 1));
-        }
-
-        private void add(long nanos, boolean finished) {
+        private void add(long latencyNanos) {
             mSamples++;
             double weight = Math.max(SAMPLE_WEIGHT, 1.0 / mSamples);
-            mTimeNanos += weight * (nanos - mTimeNanos);
-            mFinished += weight * ((finished ? 1 : 0) - mFinished);
+            mLatencyNanos += weight * (latencyNanos - mLatencyNanos);
         }
     }
 
@@ -54,45 +42,55 @@
         mRoutes.clear();
     }
 
-    /** Returns the mean time from dispatch to completion, or empty without a sample. */
+    /** Returns the average time from dispatch to completion, or empty without a sample. */
     OptionalDouble latencyNanos(String route) {
         Optional<Route> known = mRoutes.find(route).filter(found -> found.mSamples > 0);
         return known.isEmpty()
                 ? OptionalDouble.empty()
-                : OptionalDouble.of(known.get().latencyNanos());
+                : OptionalDouble.of(known.get().mLatencyNanos);
     }
 
-    /** Returns the lowest mean of all routes with a recent sample, or 0 if there is none. */
+    /** Returns the lowest average of all routes with a recent sample, or 0 if there is none. */
     double lowestNanos() {
         return mRoutes.values().stream()
-                .filter(this::isRecent)
-                .mapToDouble(Route::latencyNanos)
+                .filter(route -> route.mSamples > 0 && isRecent(route))
+                .mapToDouble(route -> route.mLatencyNanos)
                 .min()
                 .orElse(0);
     }
 
     private boolean isRecent(Route route) {
-        return route.mSamples > 0 && mClock.nanoTime() - route.mSampledNanos < TRIAL_INTERVAL_NANOS;
+        return route.mAsked && mClock.nanoTime() - route.mAskedNanos < TRIAL_INTERVAL_NANOS;
+    }
+
+    /** Records the latency of a request that got a response. */
+    void record(String route, long latencyNanos) {
+        ask(route).add(latencyNanos);
+    }
+
+    /** Replaces what is known about a route by the latency of a trial that got a response. */
+    void recordTrial(String route, long latencyNanos) {
+        Route known = ask(route);
+        known.mSamples = 0;
+        known.add(latencyNanos);
     }
 
     /**
-     * Records how long a request took.
-     *
-     * @param route route of the request
-     * @param nanos time from its dispatch to its response, or to its end without a response
-     * @param finished true if there was a response
+     * Records that a request ended without a response. The time that it had is a lower bound of its
+     * latency, which says something only if it is above the expected latency.
      */
-    void record(String route, long nanos, boolean finished) {
-        Route known = mRoutes.findOrAdd(route);
-        known.add(nanos, finished);
-        known.mSampledNanos = mClock.nanoTime();
+    void recordUnfinished(String route, long elapsedNanos, double expectedNanos) {
+        Route known = ask(route);
+        if (elapsedNanos > expectedNanos) {
+            known.add(elapsedNanos);
+        }
     }
 
-    /** Replaces what is known about a route by the latency of a trial that succeeded. */
-    void recordTrial(String route, long latencyNanos) {
+    private Route ask(String route) {
         Route known = mRoutes.findOrAdd(route);
-        known.mSamples = 0;
-        record(route, latencyNanos, true);
+        known.mAsked = true;
+        known.mAskedNanos = mClock.nanoTime();
+        return known;
     }
 
     /** Returns whether one request may be admitted to measure the latency of its route. */
