Read the configuration when another node has a newer one

What callers would have seen: a node whose watch of the store hears nothing, on a connection that became silent without a reset, served the older configuration for up to 11.5 s, the end of the long poll; the target of the follower is 2.5 s.

Cause: only the end of the watch led to another read. The revision that every node announces by gossip was shown to operators and used for nothing else.

Change: the follower compares its revision with the newest that the fleet announces, every 400 ms. Behind twice in a row at the same revision, it reads the key, at most with doubling pauses up to 12.8 s, so that a revision that the store lacks causes few reads. A read closes the earlier watch, of which there were two otherwise. New event 7017.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollower.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 import org.arbutuslock.api.Result;
 import org.arbutuslock.api.store.ListResult;
 import org.arbutuslock.api.store.PlatformStore;
@@ -19,8 +20,9 @@
 
 /**
  * Follows a configuration that is stored as a whole under one key of the platform's store. A value
- * that cannot be parsed or applied is logged, and the configuration in force stays. The state is
- * confined to one event loop.
+ * that cannot be parsed or applied is logged, and the configuration in force stays. A watch whose
+ * connection has become silent reports no end, so the key is also read when another node has a
+ * newer revision. The state is confined to one event loop.
  */
 final class ConfigurationFollower {
     private static final EventLogger LOGGER = EventLogger.forComponent("configuration");
@@ -28,13 +30,23 @@
     // within this time after a failed read.
     private static final long INITIAL_RETRY_MILLIS = 100;
     private static final long MAXIMUM_RETRY_MILLIS = 800;
+    // The watch delivers most changes before other nodes announce them.
+    private static final long COMPARE_MILLIS = 400;
+    // Limits the reads caused by a revision that the store does not have.
+    private static final long MAXIMUM_COMPARE_MILLIS = 12_800;
+
+    private static final long NOT_BEHIND = -1;
 
     private final PlatformStore mStore;
     private final ConfigurationDialect mDialect;
     private final ConfigurationHolder mHolder;
     private final DoubleSupplier mFloorShare;
+    private final LongSupplier mNewestKnown;
     private final EventLoop mEventLoop;
     private long mRetryMillis = INITIAL_RETRY_MILLIS;
+    private long mCompareMillis = COMPARE_MILLIS;
+    private long mBehindSince = NOT_BEHIND;
+    private AutoCloseable mWatch = () -> {};
     private boolean mStopped;
 
     ConfigurationFollower(
@@ -42,17 +54,42 @@
             ConfigurationDialect dialect,
             ConfigurationHolder holder,
             DoubleSupplier floorShare,
+            LongSupplier newestKnown,
             EventLoop eventLoop) {
         mStore = store;
         mDialect = dialect;
         mHolder = holder;
         mFloorShare = floorShare;
+        mNewestKnown = newestKnown;
         mEventLoop = eventLoop;
     }
 
     /** Reads the key and then watches it. Safe on any thread. */
     void start() {
         mEventLoop.execute(this::read);
+        scheduleComparison();
+    }
+
+    private void scheduleComparison() {
+        mEventLoop.schedule(this::compare, mCompareMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Reads the key when a revision that another node has was not in force here twice in a row. */
+    private void compare() {
+        if (mStopped) {
+            return;
+        }
+        long own = mHolder.current().revision();
+        boolean behind = mNewestKnown.getAsLong() > own;
+        if (behind && mBehindSince == own) {
+            LOGGER.log(Event.CONFIGURATION_BEHIND, own, mNewestKnown.getAsLong());
+            mCompareMillis = Math.min(MAXIMUM_COMPARE_MILLIS, 2 * mCompareMillis);
+            read();
+        } else {
+            mCompareMillis = COMPARE_MILLIS;
+        }
+        mBehindSince = behind ? own : NOT_BEHIND;
+        scheduleComparison();
     }
 
     void stop() {
@@ -72,12 +109,21 @@
             case ListResult.Page(List<StoreEntry> entries, boolean more, long revision) -> {
                 mRetryMillis = INITIAL_RETRY_MILLIS;
                 entries.forEach(this::applyEntry);
-                mStore.watch(mDialect.key(), revision, new KeyListener());
+                closeWatch();
+                mWatch = mStore.watch(mDialect.key(), revision, new KeyListener());
             }
             case ListResult.Unavailable unavailable -> scheduleRead();
         }
     }
 
+    private void closeWatch() {
+        try {
+            mWatch.close();
+        } catch (Exception failure) {
+            LOGGER.log(Event.CONFIGURATION_WATCH_ENDED, "it could not be closed: " + failure);
+        }
+    }
+
     private void scheduleRead() {
         long jitter = ThreadLocalRandom.current().nextLong(mRetryMillis);
         mEventLoop.schedule(this::read, mRetryMillis + jitter, TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/FollowedConfigurationPlugin.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/FollowedConfigurationPlugin.java
@@ -6,9 +6,13 @@
 import org.arbutuslock.api.PluginContext;
 import org.arbutuslock.api.PluginException;
 import org.arbutuslock.api.store.PlatformStore;
+import org.arbutuslock.daemon.internal.fleet.FleetDirectory;
+import org.arbutuslock.daemon.internal.fleet.FleetPlugin;
 import org.arbutuslock.daemon.internal.store.GrpcStorePlugin;
 import org.arbutuslock.internal.configuration.ConfigurationHolder;
 import org.arbutuslock.internal.dialect.ConfigurationDialect;
+import org.arbutuslock.internal.membership.FleetSnapshot;
+import org.arbutuslock.internal.membership.NodeRecord;
 import org.arbutuslock.internal.settings.LiveSettings;
 import org.arbutuslock.internal.settings.NodeSettings;
 
@@ -32,7 +36,7 @@
 
     @Override
     public Set<String> requires() {
-        return Set.of(ConfigurationPlugin.NAME, GrpcStorePlugin.NAME);
+        return Set.of(ConfigurationPlugin.NAME, FleetPlugin.NAME, GrpcStorePlugin.NAME);
     }
 
     @Override
@@ -44,16 +48,22 @@
     @Override
     public void start(PluginContext context) throws PluginException {
         LiveSettings live = context.require(LiveSettings.class);
+        FleetDirectory fleet = context.require(FleetDirectory.class);
         mFollower =
                 new ConfigurationFollower(
                         context.require(PlatformStore.class),
                         context.require(ConfigurationDialect.class),
                         context.require(ConfigurationHolder.class),
                         () -> live.current().bounds().floorShare(),
+                        () -> findNewestRevision(fleet.current()),
                         context.require(EventLoopGroup.class).next());
         mFollower.start();
     }
 
+    private static long findNewestRevision(FleetSnapshot fleet) {
+        return fleet.nodes().stream().mapToLong(NodeRecord::configurationRevision).max().orElse(0);
+    }
+
     @Override
     public void stop() {
         mFollower.stop();
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -164,6 +164,9 @@
     /** A configuration in the store was not applied; the one in force stays. */
     CONFIGURATION_REFUSED(
             7012, Level.WARNING, "configuration of {0} was refused, {1} stays in force: {2}"),
+    /** Another node has a newer configuration; the store is read without waiting for the watch. */
+    CONFIGURATION_BEHIND(
+            7017, Level.INFO, "configuration {0} is in force, another node has {1}; reading it"),
     /** The lease of the store entry that lists this node has expired. */
     RENDEZVOUS_LEASE_LOST(7013, Level.INFO, "lease of the entry of node {0} has ended"),
     /** This node contacts another node that the store lists. */
