--- a/kernel/src/test/java/org/arbutuslock/internal/admission/RouteAdmissionTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/admission/RouteAdmissionTest.java
@@ -28,7 +28,7 @@
     private static final Duration SLOW = Duration.ofMillis(500);
     private static final Duration FAST = Duration.ofMillis(20);
     private static final int SLOTS = 3;
-    // "What falls behind a less urgent kind of request by over 5 in 100" is what callers pay for.
+    // Share by which a kind of request may fall behind another one without a price.
     private static final double ALLOWED_DIFFERENCE = 0.05;
 
     private ManualClock mClock;
