Take only responses as samples of the latency of a route

The bound of the wait uses the latency of the work class again: it limits the queue, not this request. Completion.UNFINISHED, which nothing else used, is removed.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/HomeExchange.java
@@ -43,7 +43,6 @@
     // A body without a reader may have no end; reading it takes time from other requests.
     private static final int MAXIMUM_UNREAD_BODY_BYTES = 1024 * 1024;
     private static final int SHED_STATUS = 503;
-    private static final int TIMEOUT_STATUS = 504;
     private static final int FIRST_SERVER_ERROR = 500;
     // Time that a non-idempotent request may run past its deadline. Aborting it at the deadline
     // would leave its outcome unknown.
@@ -246,7 +245,7 @@
         mObservation.ifPresent(observation -> observation.ended(classify(mStatus)));
         logAnswer();
         mEndpoint.release(mConnection);
-        mEndpoint.finished(this, toCompletion(mStatus));
+        mEndpoint.finished(this, toCompletion(classify(mStatus)));
     }
 
     /** Refuses a dispatched request whose response says that it was not executed. */
@@ -279,7 +278,7 @@
         mRecord.fail();
         mConnection.abort();
         emit(new ResponseEvent.OutcomeUnknown(reason, mEndpoint.load()));
-        mEndpoint.finished(this, toCompletion(outcome));
+        mEndpoint.finished(this, Completion.FAILED);
     }
 
     private void logAnswer() {
@@ -433,20 +432,11 @@
         return status >= FIRST_SERVER_ERROR ? Outcome.WRONG : Outcome.OK;
     }
 
-    /** Returns how a request with a whole response ended. */
-    private static Completion toCompletion(int status) {
-        return switch (status) {
-            case SHED_STATUS -> Completion.SHED;
-            case TIMEOUT_STATUS -> Completion.UNFINISHED;
-            default -> status >= FIRST_SERVER_ERROR ? Completion.FAILED : Completion.SUCCESS;
-        };
-    }
-
-    /** Returns how a request without a whole response ended; OK means that it was cancelled. */
     private static Completion toCompletion(Outcome outcome) {
         return switch (outcome) {
-            case OK, TIMEOUT -> Completion.UNFINISHED;
-            case WRONG, TRUNCATED, REFUSED, LATE, STALLED -> Completion.FAILED;
+            case OK, LATE -> Completion.SUCCESS;
+            case REFUSED -> Completion.SHED;
+            case WRONG, TRUNCATED, TIMEOUT, STALLED -> Completion.FAILED;
         };
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollowerTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollowerTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.arbutuslock.api.Failure;
 import org.arbutuslock.api.Result;
 import org.arbutuslock.api.store.LeaseResult;
 import org.arbutuslock.api.store.ListResult;
@@ -83,6 +84,29 @@
         assertEquals(mStore.mReads, reads);
     }
 
+    @Test
+    public void should_read_again_when_the_store_turned_the_node_away() {
+        mStore.mAvailable = false;
+        mStore.endWatches();
+        advance(Duration.ofSeconds(5));
+        mStore.mRevision = 9;
+        mStore.mAvailable = true;
+        advance(Duration.ofMillis(TARGET_MILLIS));
+        assertEquals(mHolder.current().revision(), 9);
+    }
+
+    @Test
+    public void should_read_a_change_whose_history_was_dropped() {
+        mStore.mRevision = 9;
+        mStore.endWatches();
+        advance(Duration.ofMillis(TARGET_MILLIS));
+        assertEquals(mHolder.current().revision(), 9);
+        mStore.mRevision = 11;
+        mStore.deliver();
+        advance(Duration.ofMillis(100));
+        assertEquals(mHolder.current().revision(), 11);
+    }
+
     /** Guards against reads without end because of a revision that only one odd node claims. */
     @Test
     public void should_read_rarely_when_the_store_lacks_the_revision() {
@@ -121,12 +145,19 @@
         private long mRevision;
         private int mReads;
         private int mOpenWatches;
+        private boolean mAvailable = true;
 
         private StoreEntry entry() {
             byte[] value = Long.toString(mRevision).getBytes(StandardCharsets.UTF_8);
             return new StoreEntry(KEY, mRevision, mRevision, value);
         }
 
+        private void endWatches() {
+            List<WatchListener> ended = List.copyOf(mListeners);
+            mListeners.clear();
+            ended.forEach(listener -> listener.ended("HTTP status 410"));
+        }
+
         private void deliver() {
             mListeners.forEach(listener -> listener.written(entry()));
         }
@@ -135,7 +166,10 @@
         public CompletableFuture<ListResult> list(String prefix, String startAfter, int limit) {
             mReads++;
             return CompletableFuture.completedFuture(
-                    new ListResult.Page(List.of(entry()), false, mRevision));
+                    mAvailable
+                            ? new ListResult.Page(List.of(entry()), false, mRevision)
+                            : new ListResult.Unavailable(
+                                    new Failure("list", "store", "turned away")));
         }
 
         @Override
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/Completion.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/Completion.java
@@ -6,8 +6,6 @@
     SUCCESS,
     /** The backend server refused the request because of overload. */
     SHED,
-    /** The request failed; its latency is ignored. */
-    FAILED,
-    /** The request reached its deadline or was cancelled; it would have taken longer. */
-    UNFINISHED
+    /** The request failed or was cancelled; its latency is ignored. */
+    FAILED
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/ConcurrencyLimit.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/ConcurrencyLimit.java
@@ -56,7 +56,7 @@
         switch (completion) {
             case SUCCESS -> recordSuccess(ticket, latencyNanos, inFlight);
             case SHED -> recordShed(ticket.workClass());
-            case FAILED, UNFINISHED -> {}
+            case FAILED -> {}
         }
     }
 
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/DeadlineCheck.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/DeadlineCheck.java
@@ -43,9 +43,8 @@
     void record(Ticket<?> ticket, long latencyNanos, Completion completion) {
         switch (completion) {
             case SUCCESS -> recordSuccess(ticket, latencyNanos);
-            case UNFINISHED ->
-                    mRoutes.recordUnfinished(ticket.route(), latencyNanos, latencyNanos(ticket));
-            case SHED, FAILED -> {}
+            case FAILED -> mRoutes.recordFailure(ticket.route());
+            case SHED -> {}
         }
     }
 
@@ -71,10 +70,9 @@
 
     /** Returns whether a request that is expected to wait for this time may be queued. */
     boolean mayWait(Ticket<?> ticket, double waitNanos, long now) {
-        double latency = latencyNanos(ticket);
-        return waitNanos <= maximumWaitNanos(ticket, latency)
-                && (waitNanos + SAFETY_FACTOR * latency <= ticket.remainingNanos(now)
-                        || tryTrial(ticket, waitNanos, now));
+        double expected = waitNanos + SAFETY_FACTOR * latencyNanos(ticket);
+        return waitNanos <= maximumWaitNanos(ticket)
+                && (expected <= ticket.remainingNanos(now) || tryTrial(ticket, waitNanos, now));
     }
 
     /** Returns whether a request may be sent to the backend server now. */
@@ -99,14 +97,14 @@
      * Returns the longest expected wait with which a request is queued. This is at least one
      * latency, so that work that takes longer than the upper bound can be queued.
      */
-    private double maximumWaitNanos(Ticket<?> ticket, double latency) {
-        double classLatency = mLimit.latencyNanos(ticket.workClass());
+    private double maximumWaitNanos(Ticket<?> ticket) {
+        double latency = mLimit.latencyNanos(ticket.workClass());
         double bound =
                 Math.clamp(
-                        WAIT_BOUND_LATENCIES * classLatency,
+                        WAIT_BOUND_LATENCIES * latency,
                         LOWEST_WAIT_BOUND_NANOS,
                         HIGHEST_WAIT_BOUND_NANOS);
         double withinObjective = ticket.objectiveNanos() * OBJECTIVE_SHARE - latency;
-        return Math.max(Math.max(bound, classLatency), withinObjective);
+        return Math.max(Math.max(bound, latency), withinObjective);
     }
 }
--- a/kernel/src/main/java/org/arbutuslock/internal/admission/RouteLatencies.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/RouteLatencies.java
@@ -75,15 +75,9 @@
         known.add(latencyNanos);
     }
 
-    /**
-     * Records that a request ended without a response. The time that it had is a lower bound of its
-     * latency, which says something only if it is above the expected latency.
-     */
-    void recordUnfinished(String route, long elapsedNanos, double expectedNanos) {
-        Route known = ask(route);
-        if (elapsedNanos > expectedNanos) {
-            known.add(elapsedNanos);
-        }
+    /** Records that a request got no response, so that the next trial is not due at once. */
+    void recordFailure(String route) {
+        ask(route);
     }
 
     private Route ask(String route) {
--- a/kernel/src/test/java/org/arbutuslock/internal/admission/RouteAdmissionTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/admission/RouteAdmissionTest.java
@@ -107,7 +107,7 @@
                 boolean endless = done.route().equals("endless");
                 dispatched += endless ? 1 : 0;
                 mController
-                        .finished(done, endless ? Completion.UNFINISHED : Completion.SUCCESS)
+                        .finished(done, endless ? Completion.FAILED : Completion.SUCCESS)
                         .dispatch()
                         .forEach(running::add);
             }
@@ -247,7 +247,7 @@
         }
 
         private void finish(Running running) {
-            Completion completion = running.inTime ? Completion.SUCCESS : Completion.UNFINISHED;
+            Completion completion = running.inTime ? Completion.SUCCESS : Completion.FAILED;
             if (running.inTime) {
                 mServed.merge(running.ticket.route(), 1, Integer::sum);
             }
