--- a/kernel/src/main/java/org/arbutuslock/internal/admission/RouteLatencies.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/admission/RouteLatencies.java
@@ -7,8 +7,8 @@
 
 /**
  * Latency of each route at one backend server, from the requests of that route alone. A route whose
- * requests are refused yields no samples, so a trial request is due when its last request is long
- * ago and when there is none.
+ * requests are refused yields no samples, so a trial request is due when its last request ended
+ * long ago and when there is none.
  */
 final class RouteLatencies {
     private static final double SAMPLE_WEIGHT = 0.125;
@@ -19,8 +19,8 @@
     private static final class Route {
         private double mLatencyNanos;
         private int mSamples;
-        private boolean mAsked;
-        private long mAskedNanos;
+        private boolean mEnded;
+        private long mLastEndNanos;
         private int mTrials;
 
         private void add(long latencyNanos) {
@@ -60,30 +60,30 @@
     }
 
     private boolean isRecent(Route route) {
-        return route.mAsked && mClock.nanoTime() - route.mAskedNanos < TRIAL_INTERVAL_NANOS;
+        return route.mEnded && mClock.nanoTime() - route.mLastEndNanos < TRIAL_INTERVAL_NANOS;
     }
 
     /** Records the latency of a request that got a response. */
     void record(String route, long latencyNanos) {
-        ask(route).add(latencyNanos);
+        recordEnd(route).add(latencyNanos);
     }
 
     /** Replaces what is known about a route by the latency of a trial that got a response. */
     void recordTrial(String route, long latencyNanos) {
-        Route known = ask(route);
+        Route known = recordEnd(route);
         known.mSamples = 0;
         known.add(latencyNanos);
     }
 
     /** Records that a request got no response, so that the next trial is not due at once. */
     void recordFailure(String route) {
-        ask(route);
+        recordEnd(route);
     }
 
-    private Route ask(String route) {
+    private Route recordEnd(String route) {
         Route known = mRoutes.findOrAdd(route);
-        known.mAsked = true;
-        known.mAskedNanos = mClock.nanoTime();
+        known.mEnded = true;
+        known.mLastEndNanos = mClock.nanoTime();
         return known;
     }
 
