--- a/kernel/src/test/java/org/arbutuslock/internal/admission/RouteAdmissionTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/admission/RouteAdmissionTest.java
@@ -149,6 +149,17 @@
         assertEquals(mController.limit(), limit);
     }
 
+    /** Guards against an overload that no route shows, because each has few requests. */
+    @Test
+    public void should_lower_the_limit_when_every_route_slows_down() {
+        for (int round = 0; round < 120; round++) {
+            int slowdown = round < 40 ? 1 : 5;
+            run("first", FAST.multipliedBy(slowdown), 1);
+            run("added", SLOW.multipliedBy(slowdown), 1);
+        }
+        assertEquals(mController.limit(), 1);
+    }
+
     private Ticket<String> ticket(String route, Duration deadline) {
         long deadlineNanos = mClock.nanoTime() + deadline.toNanos();
         return new Ticket<>(route, route, WorkClass.SHORT, 5, "", 1, deadlineNanos);
