Make one read of the configuration at a time

Cause: a read that the comparison of revisions started while the store turned this node away began its own series of retries, beside that of the ended watch: 113 reads in 30 s instead of 45 at most (one in 0.8 s). The store counts and prices refused calls.

Change: while a read is tried, neither the comparison nor the end of a watch starts another one.

Measured: ConfigurationFollowerTest#should_make_one_read_at_a_time_when_the_store_turns_the_node_away fails before (113 reads), 6 tests pass.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollower.java
@@ -45,8 +45,10 @@
     private final EventLoop mEventLoop;
     private long mRetryMillis = INITIAL_RETRY_MILLIS;
     private long mCompareMillis = COMPARE_MILLIS;
-    private long mBehindSince = NOT_BEHIND;
+    private long mBehindAtRevision = NOT_BEHIND;
     private AutoCloseable mWatch = () -> {};
+    // True from the first attempt of a read until one succeeds.
+    private boolean mReading;
     private boolean mStopped;
 
     ConfigurationFollower(
@@ -81,14 +83,14 @@
         }
         long own = mHolder.current().revision();
         boolean behind = mNewestKnown.getAsLong() > own;
-        if (behind && mBehindSince == own) {
+        if (behind && mBehindAtRevision == own && !mReading) {
             LOGGER.log(Event.CONFIGURATION_BEHIND, own, mNewestKnown.getAsLong());
             mCompareMillis = Math.min(MAXIMUM_COMPARE_MILLIS, 2 * mCompareMillis);
             read();
         } else {
             mCompareMillis = COMPARE_MILLIS;
         }
-        mBehindSince = behind ? own : NOT_BEHIND;
+        mBehindAtRevision = behind ? own : NOT_BEHIND;
         scheduleComparison();
     }
 
@@ -100,6 +102,7 @@
         if (mStopped) {
             return;
         }
+        mReading = true;
         mStore.list(mDialect.key(), "", 1)
                 .thenAccept(result -> mEventLoop.execute(() -> handle(result)));
     }
@@ -107,6 +110,7 @@
     private void handle(ListResult result) {
         switch (result) {
             case ListResult.Page(List<StoreEntry> entries, boolean more, long revision) -> {
+                mReading = false;
                 mRetryMillis = INITIAL_RETRY_MILLIS;
                 entries.forEach(this::applyEntry);
                 closeWatch();
@@ -125,6 +129,7 @@
     }
 
     private void scheduleRead() {
+        mReading = true;
         long jitter = ThreadLocalRandom.current().nextLong(mRetryMillis);
         mEventLoop.schedule(this::read, mRetryMillis + jitter, TimeUnit.MILLISECONDS);
         mRetryMillis = Math.min(MAXIMUM_RETRY_MILLIS, 2 * mRetryMillis);
@@ -171,7 +176,12 @@
         @Override
         public void ended(String reason) {
             LOGGER.log(Event.CONFIGURATION_WATCH_ENDED, reason);
-            mEventLoop.execute(ConfigurationFollower.this::scheduleRead);
+            mEventLoop.execute(
+                    () -> {
+                        if (!mReading) {
+                            scheduleRead();
+                        }
+                    });
         }
     }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollowerTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/configuration/ConfigurationFollowerTest.java
@@ -95,6 +95,21 @@
         assertEquals(mHolder.current().revision(), 9);
     }
 
+    /** Guards against calls that add up while the store turns this node away and not the others. */
+    @Test
+    public void should_make_one_read_at_a_time_when_the_store_turns_the_node_away() {
+        int reads = mStore.mReads;
+        mStore.mAvailable = false;
+        mNewestKnown = 9;
+        advance(Duration.ofSeconds(30));
+        assertTrue(mStore.mReads - reads <= 45, mStore.mReads - reads + " reads in 30 s");
+        mStore.mRevision = 9;
+        mStore.mAvailable = true;
+        advance(Duration.ofMillis(TARGET_MILLIS));
+        assertEquals(mHolder.current().revision(), 9);
+        assertEquals(mStore.mOpenWatches, 1);
+    }
+
     @Test
     public void should_read_a_change_whose_history_was_dropped() {
         mStore.mRevision = 9;
