--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooserTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/callers/FleetEndpointChooserTest.java
@@ -90,8 +90,8 @@
     }
 
     private boolean download(int bytes) {
-        Optional<FleetSnapshot.Member> chosen = mChooser.choose(DOWNLOADS, true, Set.of());
-        chosen.ifPresent(
+        Optional<FleetSnapshot.Member> candidate = mChooser.choose(DOWNLOADS, true, Set.of());
+        candidate.ifPresent(
                 member -> {
                     mChooser.started(member, DOWNLOADS);
                     mChooser.finished(
@@ -102,6 +102,6 @@
                             LoadReport.UNKNOWN,
                             bytes);
                 });
-        return chosen.isPresent();
+        return candidate.isPresent();
     }
 }
