Break off a response with the execution that it comes from

Cause: the entry node continued a started response with a second execution when status, length, the bytes sent so far and the identifying fields agreed. The bytes still to come cannot be compared.

Ruled out: overlapping attempts that write to one response, heads that come twice, refusals behind a break, kept responses.

Change: CallerResponse.start gives the attempt that starts a response the only object that sends its body. When that attempt ends early, the connection is closed at once and nothing else is executed, for orders too, whose caller waited for an outcome query before. REQUEST_FAILED names the submission that the bytes come from and their number. SentResponse is gone.

Weighed: the same strong validator only (RFC 9110, 15.3.7.3). Right, but no known server sends one, and clients can ask for the rest with Range.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerRequest.java
@@ -138,10 +138,7 @@
     }
 
     private void retryOrElse(Runnable otherwise) {
-        if (canStillComplete()
-                && isTimeLeft()
-                && attemptsLeft()
-                && mServices.retries().tryRetry(route().service())) {
+        if (isTimeLeft() && attemptsLeft() && mServices.retries().tryRetry(route().service())) {
             startAttempt();
         } else {
             otherwise.run();
@@ -152,11 +149,6 @@
         return mCounter.isExecutionLeft(mActiveAttempts.size());
     }
 
-    /** Returns whether another execution can still give the caller a complete response. */
-    private boolean canStillComplete() {
-        return !mResponse.hasStarted() || mRequest.idempotent() && mResponse.isContinuable();
-    }
-
     /**
      * Tries another endpoint or refuses the request. Only {@link RefusalAction#RETRY} and {@link
      * RefusalAction#RETRY_IF_EARLY} use the retry budget.
@@ -224,19 +216,24 @@
     }
 
     /**
-     * Breaks off a response that has started, since nothing but the rest of its body may follow, or
-     * sends a failure that a backend server returned earlier. Returns false if there is neither.
+     * Breaks off a response that has started, or sends a failure that a backend server returned
+     * earlier. Returns false if there is neither.
      */
     private boolean endWithReceived() {
         if (mResponse.hasStarted()) {
-            mResponse.breakOff();
-            finish(RequestResult.ABORTED);
+            breakOff();
             return true;
         }
         mFallback.ifPresent(Attempt::sendBuffered);
         return mFallback.isPresent();
     }
 
+    /** Ends a response that has started, whose rest only the attempt that started it could send. */
+    private void breakOff() {
+        mResponse.breakOff();
+        finish(RequestResult.ABORTED);
+    }
+
     private void deadlinePassed() {
         giveUp("the deadline of " + mRequest.timeoutMillis() + " ms passed");
     }
@@ -267,7 +264,7 @@
         mLog.write(
                 route(),
                 result,
-                mResponse.origin(),
+                mResponse,
                 mLastUnknownDetail.isEmpty() ? mLastRefusalDetail : mLastUnknownDetail,
                 mServices.revision(),
                 mServices.clock().nanoTime(),
@@ -289,7 +286,7 @@
         private long mBodyBytes;
         private boolean mClosed;
         private Future<?> mHedgeTimer;
-        private Optional<SentResponse.Continuation> mContinuation = Optional.empty();
+        private Optional<CallerResponse.Body> mSentBody = Optional.empty();
 
         private Attempt(FleetSnapshot.Member member, RequestId id, boolean repetition) {
             mMember = member;
@@ -342,7 +339,6 @@
                 return;
             }
             switch (event) {
-                // A duplicate of the head must not start another comparison with the sent response.
                 case ResponseEvent.Head duplicate when mBuffer.hasHead() -> {}
                 case ResponseEvent.Head(int status, List<HeaderField> headers, LoadReport load) -> {
                     mBuffer.setHead(status, headers);
@@ -350,7 +346,6 @@
                     if (!mBuffer.isServerFailure()) {
                         cancelOtherAttempts();
                     }
-                    compareHead();
                 }
                 case ResponseEvent.Body(byte[] data, boolean last) -> handleBody(data, last);
                 case ResponseEvent.Refused refused -> {
@@ -360,14 +355,14 @@
                     end(AttemptResult.ofRefusal(refused.reason()));
                     mTried.addRefusal(mMember.endpoint().id(), refused.reason());
                     acknowledge();
-                    retryAfterRefusal(refused.reason());
+                    recover(() -> retryAfterRefusal(refused.reason()));
                 }
                 case ResponseEvent.OutcomeUnknown(String detail, LoadReport load) -> {
                     mLoad = load;
                     end(AttemptResult.SERVER_FAILED);
                     acknowledge();
                     recordPossibleExecution(detail);
-                    retryIfIdempotent(detail);
+                    recover(() -> retryIfIdempotent(detail));
                 }
                 case ResponseEvent.SessionLost(Submission submission, String detail) -> {
                     mSubmission = Optional.of(submission);
@@ -375,11 +370,23 @@
                     mTried.addPathFailure(mMember.endpoint().id());
                     recordPossibleExecution(detail);
                     mCounter.loseSession();
-                    recoverFromLostSession(detail);
+                    recover(() -> recoverFromLostSession(detail));
                 }
             }
         }
 
+        /**
+         * Continues the request after this attempt ended without a complete response. A response
+         * that has started breaks off at once, so that the caller can repeat its request in time.
+         */
+        private void recover(Runnable retry) {
+            if (mSentBody.isPresent()) {
+                breakOff();
+            } else {
+                retry.run();
+            }
+        }
+
         /** Records that this attempt may have been executed, unless it was never submitted. */
         private void recordPossibleExecution(String detail) {
             if (submission().isPresent() && !mPossiblyExecuted.contains(this)) {
@@ -392,59 +399,28 @@
         private void recoverFromLostSession(String detail) {
             if (!mRequest.idempotent()) {
                 pollOutcome();
-            } else if (canStillComplete() && isTimeLeft() && attemptsLeft()) {
+            } else if (isTimeLeft() && attemptsLeft()) {
                 startAttempt();
             } else {
                 reportUnknown(detail);
             }
         }
 
-        /** Cancels this attempt when its head does not continue the response sent so far. */
-        private void compareHead() {
-            if (mResponse.hasStarted()) {
-                mContinuation = mResponse.continueWith(mBuffer.status(), mBuffer.headers());
-                if (mContinuation.isEmpty()) {
-                    rejectContinuation();
-                }
-            }
-        }
-
-        private void continueBody(
-                SentResponse.Continuation continuation, byte[] data, boolean last) {
-            Optional<byte[]> unsent = continuation.removeSentPrefix(data);
-            if (unsent.isEmpty() || last && !continuation.isCompared()) {
-                rejectContinuation();
-                return;
-            }
-            int skipped = data.length - unsent.get().length;
-            if (skipped > 0) {
-                grant(skipped, last);
-            }
-            if (last || unsent.get().length > 0) {
-                sendPart(unsent.get(), last);
-            }
-        }
-
-        private void rejectContinuation() {
-            cancel();
-            reportUnknown("a second execution returned a different response");
-        }
-
         private void handleBody(byte[] data, boolean last) {
             mBodyBytes += data.length;
-            if (mContinuation.isPresent()) {
-                continueBody(mContinuation.get(), data, last);
-            } else if (mResponse.hasStarted()) {
-                sendPart(data, last);
+            if (mSentBody.isPresent()) {
+                sendPart(mSentBody.get(), data, last);
             } else if (mBuffer.fits(data)) {
                 bufferBody(data, last);
             } else {
                 // A failure does not end the other attempts at its head; its body must not mix with
                 // theirs.
                 cancelOtherAttempts();
-                mResponse.start(mId, mBuffer.status(), mBuffer.headers());
-                sendPart(mBuffer.takeBody(), false);
-                sendPart(data, last);
+                CallerResponse.Body body =
+                        mResponse.start(mId, mBuffer.status(), mBuffer.headers());
+                mSentBody = Optional.of(body);
+                sendPart(body, mBuffer.takeBody(), false);
+                sendPart(body, data, last);
             }
             if (last && !mDone && !mClosed) {
                 complete();
@@ -492,9 +468,9 @@
             }
         }
 
-        private void sendPart(byte[] data, boolean last) {
+        private void sendPart(CallerResponse.Body body, byte[] data, boolean last) {
             int bytes = data.length;
-            mResponse.sendPart(data, last, () -> grant(bytes, last));
+            body.sendPart(data, last, () -> grant(bytes, last));
         }
 
         private void grant(int bytes, boolean last) {
@@ -536,10 +512,6 @@
         @Override
         public void answered(BufferedResponse response) {
             acknowledge();
-            if (mResponse.hasStarted()) {
-                reportUnknown("the session was lost while the response was sent");
-                return;
-            }
             mResponse.sendComplete(mId, response, mRequest.idempotent());
             finish(RequestResult.ANSWERED);
         }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerResponse.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerResponse.java
@@ -7,13 +7,15 @@
 import org.arbutuslock.internal.messages.HeaderField;
 
 /**
- * The response that the caller of one request gets. Records the attempt that it comes from.
- * Confined to the event loop of the caller's connection.
+ * The response that the caller of one request gets. A response that has started belongs to the
+ * attempt that started it; no other attempt can add to it. Confined to the event loop of the
+ * caller's connection.
  */
 final class CallerResponse {
     private final ResponseWriter mWriter;
     private final Optional<String> mSealField;
-    private Optional<SentResponse> mSent = Optional.empty();
+    private boolean mStarted;
+    private long mSentBytes;
     private AnswerOrigin mOrigin = AnswerOrigin.NONE;
 
     /**
@@ -30,12 +32,12 @@
 
     /** Returns whether the head and a part of the body were sent. */
     boolean hasStarted() {
-        return mSent.isPresent();
+        return mStarted;
     }
 
-    /** Returns whether another execution of the request can continue what was sent. */
-    boolean isContinuable() {
-        return mSent.isPresent() && mSent.get().isContinuable();
+    /** Returns how many bytes of a response in parts were sent. */
+    long sentBytes() {
+        return mSentBytes;
     }
 
     /** Returns the attempt that the response comes from. */
@@ -43,25 +45,28 @@
         return mOrigin;
     }
 
-    /** Starts to compare another execution with what was sent; empty if its head differs. */
-    Optional<SentResponse.Continuation> continueWith(int status, List<HeaderField> headers) {
-        return mSent.flatMap(sent -> sent.continueWith(status, headers));
-    }
-
-    /** Sends the head of an attempt's response; its body follows in parts. */
-    void start(RequestId attempt, int status, List<HeaderField> headers) {
-        mSent = Optional.of(new SentResponse(status, headers, mSealField));
-        mOrigin = AnswerOrigin.of(attempt, status, status, headers, mSealField);
-        mWriter.start(status, headers);
-    }
-
     /**
-     * Sends a part of the body. Runs {@code sent} once the connection can take more data; never
-     * after the last part.
+     * Sends the head of an attempt's response.
+     *
+     * @param attempt id of the attempt
+     * @param status HTTP status code
+     * @param headers header fields of the response
+     * @return sends the body, which must come from the same attempt
+     * @throws IllegalStateException if a response has started
      */
-    void sendPart(byte[] data, boolean last, Runnable sent) {
-        mSent.orElseThrow().add(data);
-        mWriter.sendPart(data, last, sent);
+    Body start(RequestId attempt, int status, List<HeaderField> headers) {
+        if (mStarted) {
+            throw new IllegalStateException(
+                    "attempt "
+                            + attempt.format()
+                            + " has a response, but that of attempt "
+                            + mOrigin.attempt()
+                            + " has started");
+        }
+        mStarted = true;
+        mOrigin = AnswerOrigin.of(attempt, status, status, headers, mSealField);
+        mWriter.start(status, headers);
+        return new Body();
     }
 
     /** Sends the complete response of an attempt, or the one that replaces it. */
@@ -82,4 +87,21 @@
     void breakOff() {
         mWriter.abort();
     }
+
+    /** Body of the response that has started, for the attempt that started it. */
+    final class Body {
+        private Body() {}
+
+        /**
+         * Sends the next part.
+         *
+         * @param data bytes of the part
+         * @param last whether the response is complete
+         * @param sent run once the connection can take more data; never after the last part
+         */
+        void sendPart(byte[] data, boolean last, Runnable sent) {
+            mSentBytes += data.length;
+            mWriter.sendPart(data, last, sent);
+        }
+    }
 }
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RequestLog.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/RequestLog.java
@@ -38,7 +38,7 @@
     void write(
             RouteDefinition route,
             RequestResult result,
-            AnswerOrigin answer,
+            CallerResponse response,
             String reason,
             long revision,
             long nowNanos,
@@ -48,6 +48,7 @@
         if (leftOut == LogRateLimiter.SUPPRESSED) {
             return;
         }
+        AnswerOrigin answer = response.origin();
         if (answered) {
             LOGGER.log(
                     Event.REQUEST_ANSWERED,
@@ -72,6 +73,8 @@
                     millis,
                     revision,
                     mAttempts,
+                    answer.attempt(),
+                    response.sentBytes(),
                     reason,
                     leftOut);
         }
--- a/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/logging/Event.java
@@ -52,7 +52,7 @@
             2005,
             Level.WARNING,
             "request={0} route={1} service={2} result={3} millis={4} revision={5} tries=[{6}]"
-                    + " reason={7} leftOut={8}"),
+                    + " id={7} sentBytes={8} reason={9} leftOut={10}"),
     /** This node opened a session to another node. */
     SESSION_OPENED(3001, Level.INFO, "session to node {0} incarnation {1} opened as {2}"),
     /** This node accepted a session of another node. */
