Reject a body that a copy of its response fills up

What callers could see: a body that broke off, with the first bytes of a copy of the response as its rest, passed as whole when the rest of the copy came in a later read.

Cause: the bytes behind a body were looked at once, when its last part was read, and a head inside the body that names this very request was no evidence.

Change: a body with a head that has the id of its request, or its own seal, is not passed on; the head may come in several reads.

Weighed: to reject such bodies at once (sound bodies that quote a status line would fail) and to hold every body (a delay for everyone).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -47,7 +47,7 @@
     private final RequestDialect mDialect;
     private final long mNumber;
     private final DroppedResponseLog mDroppedResponses;
-    private final BackendResponseDecoder mDecoder = new BackendResponseDecoder();
+    private final BackendResponseDecoder mDecoder = new BackendResponseDecoder(this::checkHeldEnd);
     private final ReceivedBytesLimit mReceivedBytesLimit =
             new ReceivedBytesLimit(MAXIMUM_BYTES_OUTSIDE_BODIES);
     private EndpointId mEndpoint;
@@ -63,7 +63,10 @@
     private boolean mHeadRequest;
     private boolean mInterim;
     private int mInterimResponses;
-    private ReceivedBody mBody = new ReceivedBody();
+    private ReceivedBody mBody = new ReceivedBody(this::isOwnHead);
+    private String mSeal = "";
+    private boolean mFramedByLength;
+    private final HeldEnd mHeldEnd = new HeldEnd();
     private long mIdleSinceNanos;
 
     /**
@@ -181,6 +184,7 @@
 
     /** Closes the connection; no further event follows. */
     void abort() {
+        mHeldEnd.drop();
         mListener = null;
         mReusable = false;
         mChannel.close();
@@ -227,7 +231,8 @@
             }
             return false;
         }
-        mBody = new ReceivedBody();
+        mBody = new ReceivedBody(this::isOwnHead);
+        mSeal = mDialect.sealField().map(name -> response.headers().get(name)).orElse("");
         mResponseKind =
                 mDialect.classifyResponse(
                         mRequestHeaders,
@@ -254,6 +259,9 @@
                         || HttpUtil.isContentLengthSet(response)
                         || HttpUtil.isTransferEncodingChunked(response);
         mReusable = delimited && HttpUtil.isKeepAlive(response);
+        mFramedByLength =
+                HttpUtil.isContentLengthSet(response)
+                        && !HttpUtil.isTransferEncodingChunked(response);
         if (mResponseKind != ResponseKind.ANSWER) {
             return true;
         }
@@ -296,18 +304,63 @@
         mReceivedBytesLimit.allow(
                 (long) ALLOWED_BYTES_PER_BODY_BYTE * content.content().readableBytes());
         mBody.add(content);
-        if (last && mBody.isContinuedBy(mDecoder.nextBytes(ReceivedBody.KEPT_CHARACTERS))) {
-            fail("another response starts in the body and continues behind it");
+        if (mBody.containsOwnHead()) {
+            fail("the body contains a copy of the head of its response");
             return;
         }
         BackendEvent body = new BackendEvent.Body(ByteBufUtil.getBytes(content.content()), last);
         if (last) {
-            emitLast(body);
+            endBody(body);
         } else {
             emit(body);
         }
     }
 
+    private boolean isOwnHead(List<HeaderField> fields) {
+        String name = mDialect.requestName(mRequestHeaders);
+        return !name.isEmpty() && name.equals(mDialect.requestName(fields))
+                || !mSeal.isEmpty()
+                        && mDialect.sealField()
+                                .map(field -> HeaderField.find(fields, field))
+                                .filter(mSeal::equals)
+                                .isPresent();
+    }
+
+    private void endBody(BackendEvent last) {
+        String following = mDecoder.nextBytes();
+        switch (mBody.end(following)) {
+            case WHOLE -> emitLast(last);
+            case CUT -> failJoinedBody();
+            case UNDECIDED -> {
+                // In the other framings a body does not end by itself behind a part of a response.
+                if (mFramedByLength && mChannel.isActive()) {
+                    setReading(true);
+                    mHeldEnd.hold(
+                            last, following, mChannel.eventLoop(), () -> emitLast(mHeldEnd.take()));
+                } else {
+                    emitLast(last);
+                }
+            }
+        }
+    }
+
+    /** Decides about a held end by bytes that arrive behind it. */
+    private void checkHeldEnd(String received) {
+        if (!mHeldEnd.isPresent()) {
+            return;
+        }
+        mReusable = false;
+        switch (mBody.end(mHeldEnd.addFollowing(received))) {
+            case WHOLE -> emitLast(mHeldEnd.take());
+            case CUT -> failJoinedBody();
+            case UNDECIDED -> {}
+        }
+    }
+
+    private void failJoinedBody() {
+        fail("another response starts in the body and continues behind it");
+    }
+
     /**
      * Discards the body of a response that is not the answer to the request. Such a body may have
      * no end, so the connection closes after a bounded number of bytes. It also closes when the
@@ -340,6 +393,7 @@
 
     /** Emits the event that ends the request in progress, if there is one. */
     private void emitLast(BackendEvent event) {
+        mHeldEnd.drop();
         if (mDecoder.hasMoreBytes()) {
             // They were sent before the next request and are no response to it.
             mReusable = false;
@@ -374,6 +428,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (mHeldEnd.isPresent()) {
+            emitLast(mHeldEnd.take());
+        }
         fail("the backend server closed the connection before the response was complete");
     }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ReceivedBody.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ReceivedBody.java
@@ -3,7 +3,11 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
+import java.util.regex.Matcher;
+import org.arbutuslock.internal.messages.HeaderField;
 
 /**
  * The body of a response. Detects a body that breaks off: the response behind it on the connection
@@ -13,15 +17,49 @@
     /** One byte less than the part of a status line that is searched for. */
     static final int KEPT_CHARACTERS = "HTTP/1.1 500".length() - 1;
 
+    private static final int MAXIMUM_HEAD_CHARACTERS = 16 * 1024;
+    private static final String HEAD_END = "\r\n\r\n";
+    private static final int LINE_END_CHARACTERS = HEAD_END.length() / 2;
+
+    private final Predicate<List<HeaderField>> mOwnHead;
     private long mBytes;
     private String mEnd = "";
     private boolean mContainsResponse;
+    private boolean mContainsOwnHead;
+    // What was received of a head that starts in the body and has not ended; empty if there is
+    // none.
+    private String mOpenHead = "";
+
+    /**
+     * Creates an empty body.
+     *
+     * @param ownHead tells by its fields whether a head belongs to the response that has this body,
+     *     or to a copy of it
+     */
+    ReceivedBody(Predicate<List<HeaderField>> ownHead) {
+        mOwnHead = ownHead;
+    }
+
+    /** Tells whether a body is whole, by the bytes that follow it on the connection. */
+    enum End {
+        /** No other response starts in the body. */
+        WHOLE,
+        /** Another response starts in the body if certain bytes follow. */
+        UNDECIDED,
+        /** Another response starts in the body and continues behind it. */
+        CUT
+    }
 
     /** Adds the next part of the body. */
     void add(HttpContent part) {
         mBytes += part.content().readableBytes();
-        String text = mEnd + part.content().toString(StandardCharsets.ISO_8859_1);
-        mContainsResponse |= ResponseHeads.containsStatusLine(text);
+        String received = part.content().toString(StandardCharsets.ISO_8859_1);
+        String text = mEnd + received;
+        boolean statusLine = ResponseHeads.containsStatusLine(text);
+        mContainsResponse |= statusLine;
+        if (statusLine || !mOpenHead.isEmpty()) {
+            findOwnHead(mOpenHead.isEmpty() ? text : mOpenHead + received);
+        }
         mEnd = text.substring(Math.max(0, text.length() - KEPT_CHARACTERS));
         if (part instanceof LastHttpContent last) {
             for (Map.Entry<String, String> field : last.trailingHeaders()) {
@@ -30,6 +68,21 @@
         }
     }
 
+    private void findOwnHead(String text) {
+        mOpenHead = "";
+        Matcher statusLines = ResponseHeads.findStatusLines(text);
+        while (!mContainsOwnHead && statusLines.find()) {
+            int start = statusLines.start();
+            int end = text.indexOf(HEAD_END, start);
+            boolean open = end < 0;
+            String head = text.substring(start, open ? text.length() : end + LINE_END_CHARACTERS);
+            mContainsOwnHead = mOwnHead.test(ResponseHeads.readFields(head));
+            if (open && head.length() <= MAXIMUM_HEAD_CHARACTERS && mOpenHead.isEmpty()) {
+                mOpenHead = head;
+            }
+        }
+    }
+
     /** Returns the number of bytes so far. */
     long bytes() {
         return mBytes;
@@ -41,14 +94,29 @@
     }
 
     /**
-     * Returns whether another response starts in the body and continues behind it. A body that
+     * Returns whether the body contains a head that names the same request or the same body as its
+     * own head. The body broke off before a copy of the response, which filled it up.
+     */
+    boolean containsOwnHead() {
+        return mContainsOwnHead;
+    }
+
+    /**
+     * Decides whether another response starts in the body and continues behind it. A body that
      * merely quotes a status line has nothing behind it.
      *
      * @param following first bytes behind the body, at most {@link #KEPT_CHARACTERS}; empty if
-     *     there are none
+     *     there are none so far
      */
-    boolean isContinuedBy(String following) {
-        return !following.isEmpty()
-                && (mContainsResponse || ResponseHeads.containsStatusLine(mEnd + following));
+    End end(String following) {
+        if (mContainsResponse) {
+            return following.isEmpty() ? End.UNDECIDED : End.CUT;
+        }
+        String text = mEnd + following;
+        if (ResponseHeads.containsStatusLine(text)) {
+            return End.CUT;
+        }
+        int startOfLine = ResponseHeads.indexOfOpenStatusLine(text);
+        return startOfLine < mEnd.length() ? End.UNDECIDED : End.WHOLE;
     }
 }
