End the process of a node that cannot start

What operators could see: a process that runs on, is never ready and serves nothing, with a BindException on its output.

Cause: Netty throws the checked BindException without declaring it; PluginRuntime caught PluginException only, Main that and RuntimeException. The main thread ended, the event loops kept the process alive.

Ruled out by starts on one core: few cores, up to eight busy processes beside them, no CDS archive, one of another file, a truncated one; all ready within 22.6 s, the case allows 30 s.

--- a/daemon/src/main/java/org/arbutuslock/daemon/Main.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/Main.java
@@ -84,9 +84,9 @@
             Node node = Node.start(live, Clock.system());
             Runtime.getRuntime()
                     .addShutdownHook(new Thread(() -> shutDown(node, live, stopped), "shutdown"));
-        } catch (PluginException | RuntimeException failure) {
-            // Netty throws an unchecked exception when a listener cannot be bound.
-            LOGGER.log(Event.START_FAILED, failure.getMessage());
+        } catch (PluginException | RuntimeException | Error failure) {
+            // The threads that were started would keep a process running that serves nothing.
+            LOGGER.log(Event.START_FAILED, failure);
             System.exit(EXIT_START_FAILED);
         }
         while (!stopped.await(RELOAD_CHECK_SECONDS, TimeUnit.SECONDS)) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/CallerServer.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.arbutuslock.api.RequestId;
+import org.arbutuslock.daemon.internal.eventloops.Listeners;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 
@@ -55,7 +56,7 @@
             EntryServices services) {
         mServices = services;
         mPreparer = new RequestPreparer(this, services);
-        mListener =
+        ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(eventLoops)
                         .channel(NioServerSocketChannel.class)
@@ -68,10 +69,8 @@
                                     protected void initChannel(Channel channel) {
                                         addHandlers(channel, limits);
                                     }
-                                })
-                        .bind(address)
-                        .syncUninterruptibly()
-                        .channel();
+                                });
+        mListener = Listeners.bind(bootstrap, address);
     }
 
     private void addHandlers(Channel channel, CallerLimits limits) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/http/SmallHttpServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/http/SmallHttpServer.java
@@ -23,6 +23,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
+import org.arbutuslock.daemon.internal.eventloops.Listeners;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 
@@ -59,7 +60,7 @@
             Function<FullHttpRequest, FullHttpResponse> handler) {
         mPurpose = purpose;
         mHandler = handler;
-        mListener =
+        ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(eventLoops)
                         .channel(NioServerSocketChannel.class)
@@ -78,10 +79,8 @@
                                                                 MAXIMUM_BODY_BYTES),
                                                         new Handler(limit));
                                     }
-                                })
-                        .bind(address)
-                        .syncUninterruptibly()
-                        .channel();
+                                });
+        mListener = Listeners.bind(bootstrap, address);
     }
 
     /**
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OnDemandListener.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/operators/OnDemandListener.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import org.arbutuslock.api.Result;
+import org.arbutuslock.daemon.internal.eventloops.Listeners;
 import org.arbutuslock.internal.logging.Event;
 import org.arbutuslock.internal.logging.EventLogger;
 
@@ -50,7 +51,7 @@
             Function<InetSocketAddress, Result<OperatorsServer>> starter) {
         mEventLoops = eventLoops;
         mStarter = starter;
-        mListener =
+        ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(eventLoops)
                         .channel(NioServerSocketChannel.class)
@@ -62,10 +63,8 @@
                                     protected void initChannel(Channel accepted) {
                                         forward(accepted);
                                     }
-                                })
-                        .bind(address)
-                        .syncUninterruptibly()
-                        .channel();
+                                });
+        mListener = Listeners.bind(bootstrap, address);
     }
 
     /** Returns the bound address; its port is not 0. */
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.arbutuslock.api.Clock;
+import org.arbutuslock.daemon.internal.eventloops.Listeners;
 
 /** Accepts sessions that other nodes open to this node. */
 public final class PeerServer {
@@ -38,7 +39,7 @@
             SessionCounts counts,
             HomeNode homeNode,
             ChannelMessageDispatcher messageDispatcher) {
-        mListener =
+        ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(eventLoops)
                         .channel(NioServerSocketChannel.class)
@@ -62,10 +63,8 @@
                                                 .addListener(closed -> mSessions.remove(channel));
                                         session.install(channel);
                                     }
-                                })
-                        .bind(address)
-                        .syncUninterruptibly()
-                        .channel();
+                                });
+        mListener = Listeners.bind(bootstrap, address);
     }
 
     /**
--- a/kernel/src/main/java/org/arbutuslock/internal/plugins/PluginRuntime.java
+++ b/kernel/src/main/java/org/arbutuslock/internal/plugins/PluginRuntime.java
@@ -92,6 +92,10 @@
             } catch (PluginException failed) {
                 stop();
                 throw failed;
+            } catch (Exception failed) {
+                // Libraries also throw checked exceptions that they do not declare.
+                stop();
+                throw failure("plug-in \"" + plugin.name() + "\" could not be started: " + failed);
             }
             mStarted.push(plugin);
             LOGGER.log(Event.PLUGIN_STARTED, plugin.name());
--- a/kernel/src/test/java/org/arbutuslock/internal/plugins/PluginRuntimeTest.java
+++ b/kernel/src/test/java/org/arbutuslock/internal/plugins/PluginRuntimeTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -45,27 +46,61 @@
         expectThrows(PluginException.class, runtime::start);
     }
 
+    /** Guards against a process that runs on after its start ended in an exception. */
+    @Test
+    public void should_stop_started_plugins_when_one_throws_an_undeclared_exception() {
+        mSteps.clear();
+        Plugin failing =
+                new SteppingPlugin("failing", Set.of("early")) {
+                    @Override
+                    public void start(PluginContext context) {
+                        throwUndeclared(new IOException("port 7000 is in use"));
+                    }
+                };
+        PluginRuntime runtime = new PluginRuntime(List.of(failing, plugin("early", Set.of())));
+        PluginException error = expectThrows(PluginException.class, runtime::start);
+        assertEquals(mSteps, List.of("start early", "stop early"));
+        assertTrue(error.getMessage().contains("\"failing\" could not be started"));
+        assertTrue(error.getMessage().contains("port 7000 is in use"));
+    }
+
+    @SuppressWarnings("unchecked")
+    private static <T extends Throwable> void throwUndeclared(Throwable thrown) throws T {
+        throw (T) thrown;
+    }
+
     private Plugin plugin(String name, Set<String> requires) {
-        return new Plugin() {
-            @Override
-            public String name() {
-                return name;
-            }
+        return new SteppingPlugin(name, requires);
+    }
+
+    /** Records its start and its stop. */
+    private class SteppingPlugin implements Plugin {
+        private final String mName;
+        private final Set<String> mRequires;
+
+        private SteppingPlugin(String name, Set<String> requires) {
+            mName = name;
+            mRequires = requires;
+        }
+
+        @Override
+        public String name() {
+            return mName;
+        }
 
-            @Override
-            public Set<String> requires() {
-                return requires;
-            }
+        @Override
+        public Set<String> requires() {
+            return mRequires;
+        }
 
-            @Override
-            public void start(PluginContext context) {
-                mSteps.add("start " + name);
-            }
+        @Override
+        public void start(PluginContext context) {
+            mSteps.add("start " + mName);
+        }
 
-            @Override
-            public void stop() {
-                mSteps.add("stop " + name);
-            }
-        };
+        @Override
+        public void stop() {
+            mSteps.add("stop " + mName);
+        }
     }
 }
