Let a break wait for the earlier responses of its connection

What callers could see: with requests sent ahead, a response that broke off took the unwritten end of an earlier, whole response with it.

Cause: ChannelResponseWriter.abort closed the connection at once, and a close drops all that is not written.

Change: the abort waits for the earlier writes, at most 5 s, and then closes as other last responses do, with the caller's direction read for a second. OrderedResponseWriter announces every abort, so that no request behind it is started.

Weighed: closing without a limit would keep the connection of a caller that never reads.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ChannelResponseWriter.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/ChannelResponseWriter.java
@@ -19,6 +19,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 import org.arbutuslock.internal.messages.BufferedResponse;
 import org.arbutuslock.internal.messages.HeaderField;
 
@@ -29,6 +30,8 @@
 final class ChannelResponseWriter implements ResponseWriter {
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
+    // A caller that does not read must not keep its connection.
+    private static final long ABORT_MILLIS = 5_000;
 
     private final ChannelHandlerContext mContext;
     private final CallerServer mServer;
@@ -139,7 +142,11 @@
     public void abort() {
         if (!mEnded) {
             discard();
-            mContext.close();
+            // The caller may not have received the earlier responses of the connection yet.
+            mContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(new LingeringClose());
+            mContext.channel()
+                    .eventLoop()
+                    .schedule(() -> mContext.close(), ABORT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/OrderedResponseWriter.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/callers/OrderedResponseWriter.java
@@ -25,8 +25,8 @@
      *
      * @param connection writes to the connection
      * @param heldBytes held bytes of all responses of the connection
-     * @param onAbort called when the response is aborted before its turn; the connection itself is
-     *     aborted when the turn comes
+     * @param onAbort called when the response is aborted; the connection itself is aborted when the
+     *     turn of the response has come
      */
     OrderedResponseWriter(ResponseWriter connection, HeldBytes heldBytes, Runnable onAbort) {
         mConnection = connection;
@@ -105,11 +105,12 @@
 
     @Override
     public void abort() {
+        // Before the abort, so that no request is read behind the end of the connection.
+        mOnAbort.run();
         if (mHasTurn) {
             mConnection.abort();
         } else {
             hold(0, mConnection::abort);
-            mOnAbort.run();
         }
     }
 }
