Pass the seal on when the Connection field names it

What callers could see: a success without the seal, by which they recognize its body. The head was checked with all its fields, but those that its Connection field names are removed before it is passed on.

Change: the seal is an end-to-end field, which a Connection field must not name (RFC 9110, 7.6.1), so it is kept.

Weighed: to reject such a response; its body is whole, so callers would lose an answer.

Test: BackendResponseTest#should_pass_on_a_seal_that_the_connection_field_ names fails before (null instead of the seal).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -268,7 +268,8 @@
         emit(
                 new BackendEvent.Head(
                         response.status().code(),
-                        HttpHeaderFields.withoutHopByHopFields(response.headers())));
+                        HttpHeaderFields.withoutHopByHopFields(
+                                response.headers(), mDialect.sealField())));
         return true;
     }
 
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.Unpooled;
@@ -12,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import org.arbutuslock.api.ManualClock;
 import org.arbutuslock.internal.dialect.ResponseKind;
 import org.arbutuslock.internal.messages.HeaderField;
@@ -144,6 +146,17 @@
         assertTrue(events.getFirst() instanceof BackendEvent.Broken);
     }
 
+    /** Guards against a response without the field by which callers recognize its body. */
+    @Test
+    public void should_pass_on_a_seal_that_the_connection_field_names() {
+        String fields = "Connection: X-Seal, X-Other\r\nX-Other: 1\r\n";
+        List<BackendEvent> events =
+                exchange("GET", "first", LENGTH.replace("X-Seal", fields + "X-Seal"));
+        List<HeaderField> received = ((BackendEvent.Head) events.getFirst()).headers();
+        assertEquals(HeaderField.find(received, "x-seal"), "1");
+        assertNull(HeaderField.find(received, "x-other"));
+    }
+
     @Test
     public void should_tell_whether_the_position_of_a_response_identifies_it() {
         exchange("GET", "first", LENGTH);
@@ -437,6 +450,11 @@
         private final List<Boolean> mPositions = new ArrayList<>();
         private boolean mNamed;
 
+        @Override
+        public Optional<String> sealField() {
+            return Optional.of("x-seal");
+        }
+
         @Override
         public ResponseKind classifyResponse(
                 List<HeaderField> request,
