Fail at a 205 with a body, which the codec does not read

What callers could see: a 205 without the body that the backend server sent, as a success. Its bytes were read as another response.

Cause: Netty's codec takes 205 for a status that never has a body, in both directions; RFC 9112, section 6.3 frames its body like any other.

Change: a 205 with a length above zero or with chunks is a response that cannot be read. Weighed: to read the body and send it with our own framing; HTTP forbids a server to send one, so nobody would gain.

Test: BackendResponseTest#should_fail_at_a_body_that_the_codec_does_not_read fails before (a whole answer of 2 and 3 events), for a length and for chunks.

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -41,6 +41,7 @@
     // A body that comes in chunks of one byte has five bytes beside each byte of the body.
     private static final int ALLOWED_BYTES_PER_BODY_BYTE = 16;
     private static final int SWITCHING_PROTOCOLS = 101;
+    private static final int RESET_CONTENT = 205;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int LAST_STATUS = 999;
 
@@ -225,6 +226,11 @@
             fail("status " + status + " ends no request");
             return false;
         }
+        if (status == RESET_CONTENT && hasBody(response)) {
+            // The codec neither reads nor writes a body with this status.
+            fail("status " + status + " with a body");
+            return false;
+        }
         if (mInterim) {
             if (++mInterimResponses > MAXIMUM_INTERIM_RESPONSES) {
                 fail("more than " + MAXIMUM_INTERIM_RESPONSES + " interim responses");
@@ -273,6 +279,11 @@
         return true;
     }
 
+    private static boolean hasBody(HttpResponse response) {
+        return HttpUtil.isTransferEncodingChunked(response)
+                || HttpUtil.getContentLength(response, 0L) > 0;
+    }
+
     private static boolean isDropped(ResponseKind kind) {
         return switch (kind) {
             case NOT_GENUINE, UNIDENTIFIED, OTHER_REQUEST -> true;
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/BackendResponseTest.java
@@ -146,6 +146,26 @@
         assertTrue(events.getFirst() instanceof BackendEvent.Broken);
     }
 
+    @DataProvider
+    public Object[][] bodies() {
+        return new Object[][] {
+            {"Content-Length: 4\r\n\r\nbody"},
+            {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+        };
+    }
+
+    /** Guards against a response that loses its body, with which it would pass as whole. */
+    @Test(dataProvider = "bodies")
+    public void should_fail_at_a_body_that_the_codec_does_not_read(String body) {
+        List<BackendEvent> events = exchange("GET", "first", "HTTP/1.1 205 Reset\r\n" + body);
+        assertEquals(events.size(), 1);
+        assertTrue(events.getFirst() instanceof BackendEvent.Broken);
+        open();
+        events = exchange("GET", "first", "HTTP/1.1 205 Reset\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(((BackendEvent.Head) events.getFirst()).status(), 205);
+        assertTrue(events.getLast() instanceof BackendEvent.Body);
+    }
+
     /** Guards against a response without the field by which callers recognize its body. */
     @Test
     public void should_pass_on_a_seal_that_the_connection_field_names() {
