Bound the search for a copy inside a body

Found while reading the change: each status line in a body was taken for the start of a head that ended at the next empty line, so a body of many status lines was read again for each of them, on an event loop.

Change: OwnHeadSearch reads a head line by line, ends it at a line that is no field and goes on behind it, so that each character is looked at a bounded number of times. A copy behind a copy that breaks off in its head is found too (FilledBodyTest#should_reject_a_body_with_two_copies_of_its_own_head).

--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ReceivedBody.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ReceivedBody.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
-import java.util.regex.Matcher;
 import org.arbutuslock.internal.messages.HeaderField;
 
 /**
@@ -17,18 +16,10 @@
     /** One byte less than the part of a status line that is searched for. */
     static final int KEPT_CHARACTERS = "HTTP/1.1 500".length() - 1;
 
-    private static final int MAXIMUM_HEAD_CHARACTERS = 16 * 1024;
-    private static final String HEAD_END = "\r\n\r\n";
-    private static final int LINE_END_CHARACTERS = HEAD_END.length() / 2;
-
-    private final Predicate<List<HeaderField>> mOwnHead;
+    private final OwnHeadSearch mOwnHead;
     private long mBytes;
     private String mEnd = "";
     private boolean mContainsResponse;
-    private boolean mContainsOwnHead;
-    // What was received of a head that starts in the body and has not ended; empty if there is
-    // none.
-    private String mOpenHead = "";
 
     /**
      * Creates an empty body.
@@ -37,7 +28,7 @@
      *     or to a copy of it
      */
     ReceivedBody(Predicate<List<HeaderField>> ownHead) {
-        mOwnHead = ownHead;
+        mOwnHead = new OwnHeadSearch(ownHead);
     }
 
     /** Tells whether a body is whole, by the bytes that follow it on the connection. */
@@ -55,11 +46,8 @@
         mBytes += part.content().readableBytes();
         String received = part.content().toString(StandardCharsets.ISO_8859_1);
         String text = mEnd + received;
-        boolean statusLine = ResponseHeads.containsStatusLine(text);
-        mContainsResponse |= statusLine;
-        if (statusLine || !mOpenHead.isEmpty()) {
-            findOwnHead(mOpenHead.isEmpty() ? text : mOpenHead + received);
-        }
+        mContainsResponse |= ResponseHeads.containsStatusLine(text);
+        mOwnHead.add(received, text);
         mEnd = text.substring(Math.max(0, text.length() - KEPT_CHARACTERS));
         if (part instanceof LastHttpContent last) {
             for (Map.Entry<String, String> field : last.trailingHeaders()) {
@@ -68,21 +56,6 @@
         }
     }
 
-    private void findOwnHead(String text) {
-        mOpenHead = "";
-        Matcher statusLines = ResponseHeads.findStatusLines(text);
-        while (!mContainsOwnHead && statusLines.find()) {
-            int start = statusLines.start();
-            int end = text.indexOf(HEAD_END, start);
-            boolean open = end < 0;
-            String head = text.substring(start, open ? text.length() : end + LINE_END_CHARACTERS);
-            mContainsOwnHead = mOwnHead.test(ResponseHeads.readFields(head));
-            if (open && head.length() <= MAXIMUM_HEAD_CHARACTERS && mOpenHead.isEmpty()) {
-                mOpenHead = head;
-            }
-        }
-    }
-
     /** Returns the number of bytes so far. */
     long bytes() {
         return mBytes;
@@ -98,7 +71,7 @@
      * own head. The body broke off before a copy of the response, which filled it up.
      */
     boolean containsOwnHead() {
-        return mContainsOwnHead;
+        return mOwnHead.isFound();
     }
 
     /**
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ResponseHeads.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ResponseHeads.java
@@ -1,18 +1,14 @@
 package org.arbutuslock.daemon.internal.home;
 
 import io.netty.handler.codec.http.HttpResponse;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import org.arbutuslock.internal.messages.HeaderField;
 
 /** Finds the heads of responses where the decoder does not expect any. */
 final class ResponseHeads {
     private static final String VERSION_START = "HTTP/";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(?!\\d)");
-    private static final String LINE_END = "\r\n";
 
     private ResponseHeads() {}
 
@@ -60,28 +56,4 @@
         }
         return text.length();
     }
-
-    /**
-     * Reads the header fields of a head, or of the part of it that was received.
-     *
-     * @param head text from the status line on
-     * @return fields in whole lines; other lines are left out
-     */
-    static List<HeaderField> readFields(String head) {
-        List<HeaderField> fields = new ArrayList<>();
-        int start = head.indexOf(LINE_END);
-        int end = start < 0 ? start : head.indexOf(LINE_END, start + 1);
-        while (end >= 0) {
-            String line = head.substring(start + LINE_END.length(), end);
-            int colon = line.indexOf(':');
-            if (colon > 0) {
-                fields.add(
-                        new HeaderField(
-                                line.substring(0, colon), line.substring(colon + 1).strip()));
-            }
-            start = end;
-            end = head.indexOf(LINE_END, start + 1);
-        }
-        return fields;
-    }
 }
--- a/daemon/src/test/java/org/arbutuslock/daemon/internal/home/FilledBodyTest.java
+++ b/daemon/src/test/java/org/arbutuslock/daemon/internal/home/FilledBodyTest.java
@@ -71,6 +71,35 @@
         }
     }
 
+    /** The copy breaks off in its head, and the head of a second copy follows. */
+    @Test
+    public void should_reject_a_body_with_two_copies_of_its_own_head() {
+        String head = head("first", "1");
+        for (int length = 1; length < head.length(); length++) {
+            open();
+            String filled = head.substring(0, length) + head + "b".repeat(BODY_BYTES);
+            receive(head + filled.substring(0, BODY_BYTES));
+            mChannel.advanceTimeBy(HOLD_MILLIS, TimeUnit.MILLISECONDS);
+            mChannel.runScheduledPendingTasks();
+            assertFalse(isWhole(), "first copy of " + length + " bytes");
+            close();
+        }
+    }
+
+    /** Guards against a body whose search takes longer the more status lines it quotes. */
+    @Test(timeOut = 60_000)
+    public void should_pass_on_a_long_body_of_status_lines() {
+        String line = "HTTP/1.1 200 : x\r\n";
+        int lines = 1 << 19;
+        receive(head("first", "1", line.length() * lines));
+        for (int part = 0; part < lines / 256; part++) {
+            receive(line.repeat(256));
+        }
+        mChannel.advanceTimeBy(HOLD_MILLIS, TimeUnit.MILLISECONDS);
+        mChannel.runScheduledPendingTasks();
+        assertTrue(isWhole());
+    }
+
     @DataProvider
     public Object[][] quotes() {
         return new Object[][] {
