--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/BackendConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.arbutuslock.api.EndpointId;
@@ -40,10 +41,6 @@
     private static final int MAXIMUM_BYTES_OUTSIDE_BODIES = 256 * 1024;
     // A body that comes in chunks of one byte has five bytes beside each byte of the body.
     private static final int ALLOWED_BYTES_PER_BODY_BYTE = 16;
-    private static final int SWITCHING_PROTOCOLS = 101;
-    private static final int RESET_CONTENT = 205;
-    private static final int FIRST_FINAL_STATUS = 200;
-    private static final int LAST_STATUS = 999;
 
     private final RequestDialect mDialect;
     private final long mNumber;
@@ -220,15 +217,10 @@
             fail("the head contains another status line");
             return false;
         }
-        int status = response.status().code();
         mInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (status == SWITCHING_PROTOCOLS || !mInterim && !isFinalStatus(status)) {
-            fail("status " + status + " ends no request");
-            return false;
-        }
-        if (status == RESET_CONTENT && hasBody(response)) {
-            // The codec neither reads nor writes a body with this status.
-            fail("status " + status + " with a body");
+        Optional<String> fault = ResponseHeads.findStatusFault(response);
+        if (fault.isPresent()) {
+            fail(fault.get());
             return false;
         }
         if (mInterim) {
@@ -279,11 +271,6 @@
         return true;
     }
 
-    private static boolean hasBody(HttpResponse response) {
-        return HttpUtil.isTransferEncodingChunked(response)
-                || HttpUtil.getContentLength(response, 0L) > 0;
-    }
-
     private static boolean isDropped(ResponseKind kind) {
         return switch (kind) {
             case NOT_GENUINE, UNIDENTIFIED, OTHER_REQUEST -> true;
@@ -296,10 +283,6 @@
         mDroppedResponses.log(mEndpoint, mNumber, mSentRequests, request, kind, response);
     }
 
-    private static boolean isFinalStatus(int status) {
-        return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
-    }
-
     private void readBody(HttpContent content) {
         if (mInterim) {
             // The codec ends an interim response like a final one, with an empty last part.
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ResponseHeads.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/home/ResponseHeads.java
@@ -1,17 +1,44 @@
 package org.arbutuslock.daemon.internal.home;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Finds the heads of responses where the decoder does not expect any. */
+/** Finds heads of responses that cannot be read, and heads where the decoder expects none. */
 final class ResponseHeads {
     private static final String VERSION_START = "HTTP/";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(?!\\d)");
 
+    private static final int SWITCHING_PROTOCOLS = 101;
+    private static final int RESET_CONTENT = 205;
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 999;
+
     private ResponseHeads() {}
 
+    /** Returns why a response with this status cannot be read; empty if it can. */
+    static Optional<String> findStatusFault(HttpResponse response) {
+        int status = response.status().code();
+        boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean ends = status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+        if (status == SWITCHING_PROTOCOLS || !interim && !ends) {
+            return Optional.of("status " + status + " ends no request");
+        }
+        // The codec neither reads nor writes a body with this status.
+        return status == RESET_CONTENT && hasBody(response)
+                ? Optional.of("status " + status + " with a body")
+                : Optional.empty();
+    }
+
+    private static boolean hasBody(HttpResponse response) {
+        return HttpUtil.isTransferEncodingChunked(response)
+                || HttpUtil.getContentLength(response, 0L) > 0;
+    }
+
     /**
      * Returns whether a head contains a second status line. A backend server that breaks off in a
      * head and goes on with its next response leaves such a head: status and first fields belong to
