Write the log of a failed start before the process exits

Cause, by reading: Logback's AsyncAppender writes from a daemon thread, and System.exit drops what is in its queue. 20 starts by hand on one core did not lose the line, so the loss was not brought about again.

Change: Main closes LogOutput, which writes the queue (300 ms at most), before it exits after a failed start. Nothing changes for a node that runs.

--- a/daemon/src/main/java/org/arbutuslock/daemon/Main.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/Main.java
@@ -10,6 +10,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.arbutuslock.api.Clock;
 import org.arbutuslock.api.PluginException;
+import org.arbutuslock.daemon.internal.logging.LogOutput;
 import org.arbutuslock.daemon.internal.node.Node;
 import org.arbutuslock.daemon.internal.node.SettingsReloader;
 import org.arbutuslock.daemon.internal.shutdown.BoundedShutdown;
@@ -87,6 +88,7 @@
         } catch (PluginException | RuntimeException | Error failure) {
             // The threads that were started would keep a process running that serves nothing.
             LOGGER.log(Event.START_FAILED, failure);
+            LogOutput.close();
             System.exit(EXIT_START_FAILED);
         }
         while (!stopped.await(RELOAD_CHECK_SECONDS, TimeUnit.SECONDS)) {
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/logging/LogOutput.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/logging/LogOutput.java
@@ -10,6 +10,7 @@
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.LayoutWrappingEncoder;
 import ch.qos.logback.core.spi.ContextAwareBase;
+import org.slf4j.LoggerFactory;
 
 /**
  * Configures Logback to write one structured line for each event to standard output, through a
@@ -29,6 +30,16 @@
     /** Creates the configurator; called by the service loader of Logback. */
     public LogOutput() {}
 
+    /**
+     * Writes the lines that are in the queue and closes it; blocks for up to 300 ms. An exit of the
+     * process drops what is in the queue.
+     */
+    public static void close() {
+        if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+            context.stop();
+        }
+    }
+
     @Override
     public ExecutionStatus configure(LoggerContext context) {
         PatternLayout layout = new PatternLayout();
