--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/http/SmallHttpServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/http/SmallHttpServer.java
@@ -45,7 +45,7 @@
     private final Function<FullHttpRequest, FullHttpResponse> mHandler;
 
     /**
-     * Creates a server and starts to listen. Throws an unchecked exception of Netty when the
+     * Creates a server and starts to listen. Throws {@link java.io.UncheckedIOException} when the
      * address cannot be bound.
      *
      * @param eventLoops event loops that serve the connections
--- a/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
+++ b/daemon/src/main/java/org/arbutuslock/daemon/internal/sessions/PeerServer.java
@@ -20,8 +20,8 @@
     private final Map<Channel, ServerSession> mSessions = new ConcurrentHashMap<>();
 
     /**
-     * Binds the address and starts to accept sessions. Throws {@link java.net.BindException},
-     * though it is not declared, when the address is in use.
+     * Binds the address and starts to accept sessions. Throws {@link java.io.UncheckedIOException}
+     * when the address cannot be bound.
      *
      * @param eventLoops event loops of the connections
      * @param address IP address and port to bind; port 0 chooses a free port
